--- a/cmd/simhost/host.go
+++ b/cmd/simhost/host.go
@@ -6,8 +6,8 @@
 	"math"
 	"time"
 
-	"cedarcove/decide"
-	"cedarcove/internal/wire"
+	"rampspread/decide"
+	"rampspread/internal/wire"
 )
 
 // host keeps the routers of one process; they share nothing but the numbered directories.
--- a/cmd/simhost/host_test.go
+++ b/cmd/simhost/host_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"cedarcove/decide"
-	"cedarcove/internal/wire"
+	"rampspread/decide"
+	"rampspread/internal/wire"
 )
 
 const conf = `{"az": 0, "balancers": 2,
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"cedarcove/decide"
+	"rampspread/decide"
 )
 
 // A Router takes one request from its arrival to the end of its stream.
