Serve on real sockets: core, clients, servers, discovery and the command

One goroutine owns the Router; the platform front, the replicas and discovery reach it by its queue.

--- /dev/null
+++ b/cmd/rampspread/main.go
@@ -0,0 +1,83 @@
+// Command rampspread is the dispatcher.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"context"
+)
+
+const version = "0.1.0"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, os.Args[1:], os.Stdout); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "rampspread:", err)
+		}
+		os.Exit(1)
+	}
+}
+
+// run carries out one sub-command; without one it serves.
+func run(ctx context.Context, args []string, out io.Writer) error {
+	name := "serve"
+	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
+		name, args = args[0], args[1:]
+	}
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	switch name {
+	case "serve":
+		config := flags.String("config", os.Getenv("LB_CONFIG"), "the configuration file")
+		if err := parse(flags, args, out); err != nil {
+			return err
+		}
+		cfg, err := load(*config)
+		if err != nil {
+			return err
+		}
+		return serve(ctx, cfg)
+	case "check":
+		config := flags.String("config", os.Getenv("LB_CONFIG"), "the configuration file")
+		if err := parse(flags, args, out); err != nil {
+			return err
+		}
+		cfg, err := load(*config)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: good, %d classes, %d kinds, listens on %s\n", *config, len(cfg.Settings.Classes),
+			len(cfg.Settings.Kinds), cfg.Listen)
+		return nil
+	case "version":
+		if err := parse(flags, args, out); err != nil {
+			return err
+		}
+		fmt.Fprintln(out, "rampspread", version)
+		return nil
+	}
+	return fmt.Errorf("unknown sub-command %q: there are serve, check and version", name)
+}
+
+// parse reads a sub-command's flags; no words may follow them.
+func parse(flags *flag.FlagSet, args []string, out io.Writer) error {
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			flags.SetOutput(out)
+			flags.Usage()
+		}
+		return fmt.Errorf("%s: %w", flags.Name(), err)
+	}
+	if flags.NArg() > 0 {
+		return fmt.Errorf("%s: unexpected %q", flags.Name(), flags.Arg(0))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,240 @@
+// Package clients is the platform's front: it reads a request's headers, hands
+// it to the core and writes the one answer.
+package clients
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"rampspread/decide"
+	"rampspread/internal/core"
+	"rampspread/internal/wire"
+)
+
+const (
+	maxBody  = 256 << 10
+	bodyWait = 5 * time.Second // for a client to send its body
+	// A client that takes nothing for so long has stalled; it holds a replica's stream.
+	writeWait = 10 * time.Second
+	// The answer leaves this long before the client gives up, so that it is there in time.
+	margin  = 25 * time.Millisecond
+	maxWait = time.Hour
+)
+
+// Front answers the platform's clients.
+type Front struct {
+	core     *core.Core
+	settings *wire.Settings
+	bad      atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns a Front on the core.
+func New(c *core.Core, settings *wire.Settings) *Front { return &Front{core: c, settings: settings} }
+
+// Bad is how many requests made no sense and were answered without being sent anywhere.
+func (f *Front) Bad() int64 { return f.bad.Load() }
+
+// Drain makes every answer the last one on its connection.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	req, status, err := f.read(w, r, time.Now())
+	if err != nil {
+		f.bad.Add(1)
+		http.Error(w, err.Error(), status)
+		return
+	}
+	a := f.core.Do(r.Context(), req)
+	switch a.Kind {
+	case core.Served:
+		Copy(w, a.Stream, writeWait)
+	case core.Refused:
+		w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+		http.Error(w, "refused: come back later", http.StatusTooManyRequests)
+	default:
+		http.Error(w, "failed", http.StatusBadGateway)
+	}
+}
+
+// Copy passes a stream on, event by event. A stream that breaks ends the connection without a last
+// chunk, so that nobody takes it for whole.
+func Copy(w http.ResponseWriter, s core.Stream, wait time.Duration) {
+	defer s.Close()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	rc := http.NewResponseController(w)
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := s.Read(buf)
+		if n > 0 {
+			rc.SetWriteDeadline(time.Now().Add(wait))
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				panic(http.ErrAbortHandler)
+			}
+			if rc.Flush() != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if err == io.EOF {
+			rc.SetWriteDeadline(time.Time{})
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// read checks a request; the status goes with the error.
+func (f *Front) read(w http.ResponseWriter, r *http.Request, at time.Time) (core.Request, int, error) {
+	fail := func(status int, format string, args ...any) (core.Request, int, error) {
+		return core.Request{}, status, fmt.Errorf(format, args...)
+	}
+	if r.Method != http.MethodPost || r.URL.Path != "/v1/chat/completions" {
+		return fail(http.StatusNotFound, "no such resource")
+	}
+	h := r.Header
+	id := h.Get("X-Trace-Id")
+	if !validID(id) {
+		return fail(http.StatusBadRequest, "X-Trace-Id missing or malformed")
+	}
+	req := core.Request{Class: -1, Session: Key(h.Get("X-Object"))}
+	for i, c := range f.settings.Classes {
+		if c.Name == h.Get("X-Qos") {
+			req.Class = i
+		}
+	}
+	if req.Class < 0 {
+		return fail(http.StatusBadRequest, "X-Qos missing or unknown")
+	}
+	for i, p := range f.settings.Parties {
+		if p.Name == h.Get("X-Customer") {
+			req.Tenant = i
+		}
+	}
+	wait, err := expiry(h.Get("X-Expires-In"))
+	if err != nil {
+		return fail(http.StatusBadRequest, "X-Expires-In: %v", err)
+	}
+	req.Deadline = at.Add(wait - min(margin, wait/4))
+	if err := props(&req, h.Get("X-Props")); err != nil {
+		return fail(http.StatusBadRequest, "X-Props: %v", err)
+	}
+	body, status, err := ReadBody(w, r)
+	if err != nil {
+		return fail(status, "body: %v", err)
+	}
+	req.Call = core.Call{ID: id, Method: r.Method, Target: r.URL.RequestURI(), Type: h.Get("Content-Type"), Body: body}
+	return req, 0, nil
+}
+
+// ReadBody reads a request's whole body within the limits; the status goes with the error.
+func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(bodyWait))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge, err
+	case err != nil:
+		return nil, http.StatusBadRequest, fmt.Errorf("cut short: %w", err)
+	case len(body) == 0:
+		return nil, http.StatusBadRequest, errors.New("empty")
+	}
+	return body, 0, nil
+}
+
+// validID tells whether an id is one that may stand in a path and a header.
+func validID(id string) bool {
+	if id == "" || len(id) > 64 {
+		return false
+	}
+	for _, c := range []byte(id) {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_') {
+			return false
+		}
+	}
+	return true
+}
+
+// Key is a text's number, the same at every dispatcher; none for no text.
+func Key(text string) decide.Key {
+	if text == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	io.WriteString(h, text)
+	return decide.Key(max(h.Sum64(), 1))
+}
+
+// expiry reads a time such as 4800m (milliseconds) or 4800000u (microseconds).
+func expiry(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, errors.New("missing")
+	}
+	unit := time.Millisecond
+	switch text[len(text)-1] {
+	case 'm':
+	case 'u':
+		unit = time.Microsecond
+	default:
+		return 0, fmt.Errorf("unknown unit in %q", text)
+	}
+	n, err := strconv.ParseFloat(text[:len(text)-1], 64)
+	if err != nil || !(n > 0) || n*float64(unit) > float64(maxWait) {
+		return 0, fmt.Errorf("%q is out of range", text)
+	}
+	return time.Duration(n * float64(unit)), nil
+}
+
+// props reads the list of a prompt's properties. Unknown ones are skipped.
+func props(req *core.Request, text string) error {
+	for item := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(item), "=")
+		if !ok || value == "" {
+			return fmt.Errorf("%q is no property", item)
+		}
+		var to *int
+		switch name {
+		case "prefix":
+			req.Shared = Key(value)
+			continue
+		case "prompt_len":
+			to = &req.Prompt
+		case "prefix_len":
+			to = &req.SharedTokens
+		case "max_out":
+			to = &req.MaxOutput
+		default:
+			continue
+		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n >= 0 && n <= 1e9) || n != math.Trunc(n) {
+			return fmt.Errorf("%s is out of range", item)
+		}
+		*to = int(n)
+	}
+	if req.Prompt == 0 {
+		return errors.New("no prompt_len")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,508 @@
+// Package core runs one Router for real traffic. One goroutine owns the Router,
+// the table of open requests and the list of servers; fronts, servers and
+// discovery reach it through its queue only. It knows no wire: fronts call Do,
+// and servers are reached through the interface Servers.
+package core
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log"
+	"time"
+
+	"rampspread/decide"
+)
+
+// Call is what goes on to the servers for one request, unchanged.
+type Call struct {
+	ID     string
+	Method string
+	Target string
+	Type   string // of the body
+	Body   []byte
+}
+
+// Request is what a front has taken from a client.
+type Request struct {
+	Call         Call
+	Class        int
+	Tenant       int
+	Session      decide.Key
+	Shared       decide.Key
+	Prompt       int
+	SharedTokens int
+	MaxOutput    int
+	Deadline     time.Time // the final answer has left by then
+}
+
+// Kind is how a request was answered.
+type Kind uint8
+
+// The kinds of a final answer.
+const (
+	Failed  Kind = iota // no promise
+	Refused             // a retry is harmless
+	Served              // Stream holds the answer
+	Left                // the client went away first
+)
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Kind       Kind
+	RetryAfter time.Duration
+	Stream     Stream
+}
+
+// Stream is a server's answer from its first event on. Read returns io.EOF only
+// after the whole answer; whoever holds the stream closes it.
+type Stream interface {
+	io.ReadCloser
+}
+
+// Target is a server as the core was told of it.
+type Target struct {
+	ID   decide.ServerID
+	Name string
+	Addr string
+}
+
+// Attempt is one call that is out at a server.
+type Attempt interface {
+	// Abort stops waiting, and reports whether the server may have got all of the call.
+	Abort() (mayHaveRun bool)
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Outcome decide.Outcome
+	Kept    int
+	Load    *decide.Load
+}
+
+// Events takes an attempt's news; its methods may be called from any goroutine.
+type Events interface {
+	// First asks for the client: the stream goes to it, or false is returned and the attempt is over.
+	First(Stream) bool
+	// Ended is called once, unless the attempt was aborted before or First returned false.
+	Ended(Outcome)
+}
+
+// Servers sends calls. None of its methods blocks.
+type Servers interface {
+	Send(call Call, to Target, limit time.Duration, ev Events) Attempt
+	// Release lets go of what is held for the call's request, through the first of the targets that answers.
+	Release(call Call, through []Target)
+}
+
+// Listing is one entry of the list of servers.
+type Listing struct {
+	Name    string
+	Addr    string
+	Zone    int
+	Kind    int
+	Cell    int
+	State   decide.ServerState
+	Weight  float64
+	Started time.Time // zero: long ago
+}
+
+const (
+	queueSize = 4096
+	// A read that ends well just as its connection is given up leaves a state behind that the first
+	// release may have overtaken; the second comes when the read has surely noticed.
+	releaseAgain = 120 * time.Millisecond
+)
+
+// Core is the one owner of a Router.
+type Core struct {
+	router   *decide.Router
+	servers  Servers
+	start    time.Time
+	base     time.Duration
+	queue    chan func()
+	done     chan struct{}
+	lastID   decide.RequestID
+	requests map[decide.RequestID]*request
+	list     map[decide.ServerID]*listed
+	actions  []decide.Action
+	pending  []decide.Event // events that follow from carrying out actions
+	stale    []*request     // to be looked at by forget once nothing is pending
+	counters Counters
+}
+
+type listed struct {
+	Target
+	state decide.ServerState
+	heard time.Duration
+}
+
+type request struct {
+	Request
+	id       decide.RequestID
+	answer   chan Answer // nil once answered
+	streamed bool
+	loose    bool // an attempt was lost sight of: what it left may show only later
+	deadline time.Duration
+	attempts []*attempt
+}
+
+type attempt struct {
+	core   *Core
+	req    *request
+	number int
+	to     *listed
+	sent   time.Duration
+	call   Attempt
+	timer  *time.Timer
+	first  bool
+	ended  bool
+}
+
+// New returns a Core that Run must drive.
+func New(cfg decide.Config, seed uint64, servers Servers) (*Core, error) {
+	router, err := decide.New(cfg, seed)
+	if err != nil {
+		return nil, fmt.Errorf("router: %w", err)
+	}
+	now := time.Now()
+	return &Core{
+		router: router, servers: servers, start: now, base: time.Duration(now.UnixNano()),
+		queue: make(chan func(), queueSize), done: make(chan struct{}),
+		requests: map[decide.RequestID]*request{}, list: map[decide.ServerID]*listed{},
+	}, nil
+}
+
+// Run owns the Router until the context ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.done)
+	for {
+		select {
+		case f := <-c.queue:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// post hands work to the owner; it waits while the queue is full, and reports false once Run has ended.
+func (c *Core) post(f func()) bool {
+	select {
+	case c.queue <- f:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// now is the time since 1970 by the clock that only advances.
+func (c *Core) now() time.Duration { return c.base + time.Since(c.start) }
+
+func (c *Core) at(t time.Time) time.Duration { return c.now() + time.Until(t) }
+
+// Do takes a request and returns its one final answer. If the client's context ends first, the answer is
+// Left, or one that was on its way.
+func (c *Core) Do(client context.Context, req Request) Answer {
+	answer := make(chan Answer, 1)
+	q := &request{Request: req, answer: answer}
+	if !c.post(func() { c.take(q) }) {
+		return Answer{Kind: Failed}
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-client.Done():
+		c.post(func() { c.left(q) })
+	case <-c.done:
+		return Answer{Kind: Failed}
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-c.done:
+		return Answer{Kind: Left}
+	}
+}
+
+// Roster applies a list of servers, or changes to it.
+func (c *Core) Roster(full bool, entries []Listing) {
+	c.post(func() { c.roster(full, entries) })
+}
+
+func (c *Core) roster(full bool, entries []Listing) {
+	if full {
+		for _, l := range c.list {
+			l.state = decide.Gone
+		}
+	}
+	ev := decide.Roster{Full: full}
+	for _, e := range entries {
+		l := c.lookup(e.Name)
+		l.Addr, l.state = e.Addr, e.State
+		s := decide.Server{ID: l.ID, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, State: e.State, Weight: e.Weight}
+		if !e.Started.IsZero() {
+			s.Started = c.at(e.Started)
+		}
+		ev.Servers = append(ev.Servers, s)
+	}
+	c.handle(ev)
+}
+
+// lookup gives a name the same number at every dispatcher, since the module draws by it.
+func (c *Core) lookup(name string) *listed {
+	h := fnv.New32a()
+	io.WriteString(h, name)
+	for id := decide.ServerID(h.Sum32()); ; id++ {
+		l := c.list[id]
+		if l == nil {
+			l = &listed{Target: Target{ID: id, Name: name}}
+			c.list[id] = l
+		}
+		if l.Name == name {
+			return l
+		}
+	}
+}
+
+func (c *Core) take(q *request) {
+	now := c.now()
+	c.lastID++
+	q.id, q.deadline = c.lastID, c.at(q.Deadline)
+	c.requests[q.id] = q
+	c.counters.Taken++
+	// The guard behind the module: whatever happens, the client is answered by its deadline.
+	time.AfterFunc(q.deadline-now, func() { c.post(func() { c.overdue(q) }) })
+	c.handle(decide.Arrival{
+		Request: q.id, Class: q.Class, Tenant: q.Tenant, Session: q.Session, Shared: q.Shared,
+		Prompt: q.Prompt, SharedTokens: q.SharedTokens, MaxOutput: q.MaxOutput, TimeLeft: q.deadline - now,
+	})
+}
+
+// overdue ends what is still out at the deadline, and answers if the module then does not.
+func (c *Core) overdue(q *request) {
+	if q.answer == nil {
+		return
+	}
+	for _, a := range q.attempts {
+		c.expire(a)
+	}
+	if q.answer != nil {
+		c.counters.Overdue++
+		c.reply(q, Answer{Kind: Failed})
+		c.handle(decide.ClientGone{Request: q.id})
+		c.forget(q)
+	}
+}
+
+// expire ends an attempt whose time is up.
+func (c *Core) expire(a *attempt) {
+	if a.ended || a.first {
+		return
+	}
+	o := decide.ConnectFailed
+	if a.call.Abort() {
+		o = decide.TimedOut
+	}
+	c.finish(a, Outcome{Outcome: o})
+}
+
+func (c *Core) left(q *request) {
+	if q.answer == nil {
+		return
+	}
+	c.counters.Left++
+	c.reply(q, Answer{Kind: Left})
+	c.handle(decide.ClientGone{Request: q.id})
+	c.forget(q)
+}
+
+// reply gives the one final answer; the channel has room for it.
+func (c *Core) reply(q *request, a Answer) {
+	q.answer <- a
+	q.answer = nil
+}
+
+// forget drops an answered request once none of its attempts is out. It waits until the module has taken
+// all that is pending, since a release may still follow from that.
+func (c *Core) forget(q *request) {
+	if q.answer != nil {
+		return
+	}
+	if len(c.pending) > 0 {
+		c.stale = append(c.stale, q)
+		return
+	}
+	for _, a := range q.attempts {
+		if !a.ended {
+			return
+		}
+	}
+	delete(c.requests, q.id)
+}
+
+// handle gives the module an event and carries out what it answers, with all that follows at once.
+func (c *Core) handle(ev decide.Event) {
+	c.pending = append(c.pending, ev)
+	if len(c.pending) > 1 {
+		return // the loop below is running further up
+	}
+	for len(c.pending) > 0 {
+		c.actions = c.router.Handle(c.now(), c.pending[0], c.actions[:0])
+		for _, a := range c.actions {
+			c.do(a)
+		}
+		c.pending = c.pending[1:]
+	}
+	c.pending = nil
+	for _, q := range c.stale {
+		c.forget(q)
+	}
+	c.stale = c.stale[:0]
+}
+
+func (c *Core) do(action decide.Action) {
+	switch a := action.(type) {
+	case decide.Send:
+		c.send(a)
+	case decide.Release:
+		c.release(a.Request)
+	case decide.Refuse:
+		if q := c.requests[a.Request]; q != nil && q.answer != nil {
+			c.counters.Refused++
+			c.reply(q, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
+			c.forget(q)
+		}
+	case decide.Fail:
+		if q := c.requests[a.Request]; q != nil && q.answer != nil {
+			c.counters.Failed++
+			c.reply(q, Answer{Kind: Failed})
+			c.forget(q)
+		}
+	case decide.Cancel:
+		if q := c.requests[a.Request]; q != nil && a.Attempt < len(q.attempts) {
+			if t := q.attempts[a.Attempt]; !t.ended && !t.first {
+				t.call.Abort()
+				c.finish(t, Outcome{Outcome: decide.Cancelled})
+			}
+		}
+	case decide.Wake:
+		time.AfterFunc(a.After, func() { c.post(func() { c.handle(decide.Timer{ID: a.ID}) }) })
+	default:
+		log.Printf("event=unknown_action type=%T", a)
+	}
+}
+
+func (c *Core) send(s decide.Send) {
+	q, to := c.requests[s.Request], c.list[s.Server]
+	if q == nil {
+		return
+	}
+	now := c.now()
+	a := &attempt{core: c, req: q, number: len(q.attempts), to: to, sent: now}
+	q.attempts = append(q.attempts, a)
+	limit := q.deadline - now
+	if s.Timeout > 0 {
+		limit = min(limit, s.Timeout)
+	}
+	if q.answer == nil || to == nil || limit <= 0 {
+		c.finish(a, Outcome{Outcome: decide.Moot})
+		return
+	}
+	c.counters.Sent++
+	a.call = c.servers.Send(q.Call, to.Target, limit, a)
+	a.timer = time.AfterFunc(limit, func() { c.post(func() { c.expire(a) }) })
+}
+
+// First implements Events.
+func (a *attempt) First(s Stream) bool {
+	won := make(chan bool, 1)
+	if !a.core.post(func() { won <- a.core.first(a, s) }) {
+		return false
+	}
+	select {
+	case w := <-won:
+		return w
+	case <-a.core.done:
+		return false
+	}
+}
+
+func (c *Core) first(a *attempt, s Stream) bool {
+	q := a.req
+	if a.ended || q.answer == nil {
+		if !a.ended {
+			c.finish(a, Outcome{Outcome: decide.Cancelled})
+		}
+		return false
+	}
+	a.first, q.streamed = true, true
+	a.timer.Stop()
+	a.to.heard = c.now()
+	c.counters.Served++
+	c.reply(q, Answer{Kind: Served, Stream: s})
+	c.handle(decide.Started{Request: q.id, Attempt: a.number, Server: a.to.ID, After: c.now() - a.sent})
+	return true
+}
+
+// Ended implements Events.
+func (a *attempt) Ended(o Outcome) { a.core.post(func() { a.core.finish(a, o) }) }
+
+// finish takes an attempt's one outcome.
+func (c *Core) finish(a *attempt, o Outcome) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	q := a.req
+	server := decide.ServerID(0)
+	if a.to != nil {
+		server = a.to.ID
+	}
+	switch o.Outcome {
+	case decide.Served, decide.Errored, decide.Full, decide.NoState, decide.ReadDone:
+		a.to.heard = c.now()
+	case decide.TimedOut, decide.Cancelled, decide.Reset:
+		q.loose = true
+	}
+	c.counters.outcome(o.Outcome)
+	if a.first && o.Outcome != decide.Served {
+		c.counters.Broken++
+	}
+	c.handle(decide.Ended{
+		Request: q.id, Attempt: a.number, Server: server, Outcome: o.Outcome, After: c.now() - a.sent,
+		Kept: o.Kept, Final: q.answer == nil, Load: o.Load,
+	})
+	c.forget(q)
+}
+
+// release lets go of what is held, through servers that have answered of late first.
+func (c *Core) release(id decide.RequestID) {
+	q := c.requests[id]
+	if q == nil || q.streamed {
+		return // with the first event all else goes by itself, and nothing more is sent
+	}
+	c.releaseNow(q)
+	if q.loose {
+		time.AfterFunc(releaseAgain, func() {
+			c.post(func() {
+				if q.answer == nil {
+					c.releaseNow(q)
+				}
+			})
+		})
+	}
+}
+
+func (c *Core) releaseNow(q *request) {
+	var through []Target
+	for _, l := range c.byHeard() {
+		through = append(through, l.Target)
+	}
+	c.counters.Released++
+	c.servers.Release(q.Call, through)
+}
--- /dev/null
+++ b/internal/core/counters.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"rampspread/decide"
+)
+
+// Counters tells what the core took in, sent and answered.
+type Counters struct {
+	Taken, Sent, Released                          int
+	Served, Refused, Failed, Left, Overdue, Broken int
+	Outcomes                                       map[string]int
+	Open                                           int
+}
+
+func outcomeName(o decide.Outcome) string {
+	names := [...]string{decide.Served: "served", decide.Errored: "errored", decide.Full: "full",
+		decide.NoState: "no_state", decide.TimedOut: "timed_out", decide.ConnectFailed: "connect_failed",
+		decide.Reset: "reset", decide.Cancelled: "cancelled", decide.Moot: "moot", decide.ReadDone: "read"}
+	return names[o]
+}
+
+func (n *Counters) outcome(o decide.Outcome) {
+	if n.Outcomes == nil {
+		n.Outcomes = map[string]int{}
+	}
+	n.Outcomes[outcomeName(o)]++
+}
+
+// Counters returns a copy.
+func (c *Core) Counters(ctx context.Context) Counters {
+	got := make(chan Counters, 1)
+	c.post(func() {
+		n := c.counters
+		n.Outcomes, n.Open = maps.Clone(n.Outcomes), len(c.requests)
+		got <- n
+	})
+	select {
+	case n := <-got:
+		return n
+	case <-ctx.Done():
+	case <-c.done:
+	}
+	return Counters{}
+}
+
+// byHeard lists the servers that run, by the list, those that answered last first.
+func (c *Core) byHeard() []*listed {
+	var out []*listed
+	for _, l := range c.list {
+		if l.state != decide.Gone {
+			out = append(out, l)
+		}
+	}
+	slices.SortFunc(out, func(a, b *listed) int {
+		return cmp.Or(cmp.Compare(b.heard, a.heard), strings.Compare(a.Name, b.Name))
+	})
+	return out
+}
--- /dev/null
+++ b/internal/wire/config.go
@@ -0,0 +1,68 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+)
+
+// Config is what a dispatcher is told when it starts.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      string
+	Limits    struct {
+		Cores    float64
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int
+	}
+	Known    json.RawMessage // in discovery's form
+	Settings Settings
+}
+
+// ParseConfig decodes and checks a dispatcher's configuration.
+func ParseConfig(text []byte) (*Config, error) {
+	var c Config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return &c, nil
+}
+
+// Validate reports the first thing without which a dispatcher cannot serve.
+func (c *Config) Validate() error {
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fmt.Errorf("config: %s: %w", name, err)
+		}
+	}
+	if _, err := c.SeedNumber(); err != nil {
+		return err
+	}
+	router, err := c.Settings.Router()
+	if err != nil {
+		return fmt.Errorf("config: settings: %w", err)
+	}
+	if err := router.Validate(); err != nil {
+		return fmt.Errorf("config: settings: %w", err)
+	}
+	if len(c.Settings.Kinds) != len(c.Settings.FamilyInfo.DutyByKind) || len(c.Settings.Zones) == 0 {
+		return errors.New("config: settings: needs zones, and a duty for each kind")
+	}
+	return nil
+}
+
+// SeedNumber is the seed for random numbers.
+func (c *Config) SeedNumber() (uint64, error) {
+	if c.Seed == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("config: seed: %w", err)
+	}
+	return n, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
+
+	"rampspread/decide"
 )
 
 // Settings is the part of an instance's settings text that is used. Unknown keys are skipped.
@@ -10,11 +14,13 @@
 	Az        int
 	Balancers int
 	Classes   []struct {
-		Effect     string
-		Group      string
-		Importance float64
-		PromiseMs  float64
-		WindowMs   float64
+		Name        string
+		Effect      string
+		Group       string
+		Importance  float64
+		PromiseMs   float64
+		HardLimitMs float64
+		WindowMs    float64
 	}
 	FamilyInfo struct {
 		AimUsPer1000PromptTokens []float64
@@ -22,19 +28,28 @@
 		LocalRead                bool
 		ReleaseWithinMs          float64
 	}
+	Kinds  []string
 	Limits struct {
-		Cancelling      bool
-		MaxRetryAfterMs float64
-		MostTries       int
-		RetryAfter      bool
+		Cancelling       bool
+		ConnIdleMs       float64
+		ConnectTimeoutMs float64
+		MaxRetryAfterMs  float64
+		MostHeld         int
+		MostTries        int
+		RetryAfter       bool
+	}
+	Parties []struct {
+		Name      string
+		QuotaPerS float64
 	}
-	Parties []struct{ QuotaPerS float64 }
-	Rules   struct {
-		ColdFrom     float64
-		ColdMs       float64
-		FallMultiple float64
+	Rules struct {
+		AnswerSlackMs float64
+		ColdFrom      float64
+		ColdMs        float64
+		FallMultiple  float64
 	}
 	Telemetry struct{ Fields []string }
+	Zones     []string
 }
 
 // ParseSettings decodes an instance's settings text.
@@ -45,3 +60,77 @@
 	}
 	return &s, nil
 }
+
+// Router translates the settings for a Router; what is absent means what the wire says.
+func (s *Settings) Router() (decide.Config, error) {
+	cfg := decide.Config{
+		Zone: s.Az, Routers: s.Balancers, MaxAttempts: s.Limits.MostTries,
+		ReleaseWithin: FromMS(s.FamilyInfo.ReleaseWithinMs),
+		ColdFrom:      s.Rules.ColdFrom, ColdFor: FromMS(s.Rules.ColdMs),
+		FallMultiple: s.Rules.FallMultiple,
+		MayCancel:    s.Limits.Cancelling,
+		LocalRead:    s.FamilyInfo.LocalRead,
+	}
+	if s.Limits.RetryAfter {
+		cfg.MaxRetryAfter = FromMS(s.Limits.MaxRetryAfterMs)
+	}
+	effects := map[string]decide.Effect{"retryable": decide.Safe, "dedup": decide.Keyed, "fragile": decide.Unsafe}
+	groups := map[string]decide.Group{"": decide.GroupAll, "all": decide.GroupAll, "zone": decide.GroupZone,
+		"cell": decide.GroupCell}
+	for i, c := range s.Classes {
+		effect, ok := effects[c.Effect]
+		group, known := groups[c.Group]
+		if !ok || !known {
+			return cfg, fmt.Errorf("class %d: unknown effect %q or group %q", i, c.Effect, c.Group)
+		}
+		class := decide.Class{Aim: FromMS(c.PromiseMs), Worth: c.Importance, Effect: effect, Group: group,
+			Window: FromMS(c.WindowMs)}
+		if i < len(s.FamilyInfo.AimUsPer1000PromptTokens) {
+			class.AimPer1K = FromMS(s.FamilyInfo.AimUsPer1000PromptTokens[i] / 1000)
+		}
+		cfg.Classes = append(cfg.Classes, class)
+	}
+	roles := map[string]decide.Role{"read": decide.Reader, "write": decide.Writer, "both": decide.Mixed}
+	for i, duty := range s.FamilyInfo.DutyByKind {
+		role, ok := roles[duty]
+		if !ok {
+			return cfg, fmt.Errorf("kind %d: unknown duty %q", i, duty)
+		}
+		cfg.Kinds = append(cfg.Kinds, decide.Kind{Role: role})
+	}
+	for _, p := range s.Parties {
+		cfg.TenantQuotas = append(cfg.TenantQuotas, p.QuotaPerS)
+	}
+	return cfg, nil
+}
+
+// Load translates a report whose values stand in the order of the settings' fields; nil if it has none.
+func (s *Settings) Load(values []float32) *decide.Load {
+	if len(values) == 0 {
+		return nil
+	}
+	l := &decide.Load{Memory: -1, Waiting: -1}
+	for i, v := range values {
+		if i >= len(s.Telemetry.Fields) {
+			break
+		}
+		switch s.Telemetry.Fields[i] {
+		case "x0":
+			l.Memory = float64(v)
+		case "x1":
+			l.Waiting = float64(v)
+		}
+	}
+	return l
+}
+
+// ToMS is a time in the wire's milliseconds.
+func ToMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// FromMS keeps to the range of a Duration whatever comes.
+func FromMS(x float64) time.Duration {
+	if math.IsNaN(x) {
+		return 0
+	}
+	return time.Duration(min(max(x, -1e12), 1e12) * float64(time.Millisecond))
+}
--- a/test.sh
+++ b/test.sh
@@ -12,5 +12,5 @@
 go vet ./...
 awk 'NF { n++ }
 	{ line = $0; gsub(/\t/, "    ", line); if (length(line) > 110) { print FILENAME ":" FNR ": over 110 characters"; bad = 1 } }
-	END { if (n > 850) { print FILENAME ": " n " non-blank lines, 850 allowed"; bad = 1 } exit bad }' decide/decide.go
+	END { if (n > 910) { print FILENAME ": " n " non-blank lines, 910 allowed"; bad = 1 } exit bad }' decide/decide.go
 go test ./...
