End an aborted attempt only after its connection is closed

Cause: core.expire ended an attempt at once and let the module send to the next server, while servers.Abort only cancelled a context; Transport closes the connection later, in the attempt's own goroutine, so the next copy went out while the one before was still on an open connection. Ruled out by the log of lost attempts: no lost writer attempt of a correction was sent again (all resets came after the first event, connect failures were refused connections), and no call was written twice by Transport. The attempts near the breaks were all reads that timed out. Conclusion: abort now waits for the attempt's own end, which comes after the close; the core's last word at the deadline stays behind it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,8 +70,8 @@
 
 // Attempt is one call that is out at a server.
 type Attempt interface {
-	// Abort stops waiting, and reports whether the server may have got all of the call.
-	Abort() (mayHaveRun bool)
+	// Abort stops waiting. The attempt's end is reported once its connection is closed.
+	Abort()
 }
 
 // Outcome is how an attempt ended.
@@ -85,7 +85,7 @@
 type Events interface {
 	// First asks for the client: the stream goes to it, or false is returned and the attempt is over.
 	First(Stream) bool
-	// Ended is called once, unless the attempt was aborted before or First returned false.
+	// Ended is called once, unless First returned false.
 	Ended(Outcome)
 }
 
@@ -110,6 +110,8 @@
 
 const (
 	queueSize = 4096
+	// At the deadline the module has this long to answer by itself.
+	lastWord = 8 * time.Millisecond
 	// A read that ends well just as its connection is given up leaves a state behind that the first
 	// release may have overtaken; the second comes when the read has surely noticed.
 	releaseAgain = 120 * time.Millisecond
@@ -158,6 +160,9 @@
 	timer  *time.Timer
 	first  bool
 	ended  bool
+
+	aborted bool
+	as      decide.Outcome // what it then ended as, if it may have run
 }
 
 // New returns a Core that Run must drive.
@@ -282,30 +287,34 @@
 
 // overdue ends what is still out at the deadline, and answers if the module then does not.
 func (c *Core) overdue(q *request) {
-	if q.answer == nil {
-		return
-	}
 	for _, a := range q.attempts {
-		c.expire(a)
+		c.abort(a, decide.TimedOut)
 	}
-	if q.answer != nil {
-		c.counters.Overdue++
-		c.reply(q, Answer{Kind: Failed})
-		c.handle(decide.ClientGone{Request: q.id})
-		c.forget(q)
+	if q.answer == nil {
+		return
 	}
+	time.AfterFunc(lastWord, func() { c.post(func() { c.force(q) }) })
 }
 
-// expire ends an attempt whose time is up.
-func (c *Core) expire(a *attempt) {
-	if a.ended || a.first {
+// force answers a request that nothing else has answered.
+func (c *Core) force(q *request) {
+	if q.answer == nil {
 		return
 	}
-	o := decide.ConnectFailed
-	if a.call.Abort() {
-		o = decide.TimedOut
+	c.counters.Overdue++
+	c.reply(q, Answer{Kind: Failed})
+	c.handle(decide.ClientGone{Request: q.id})
+	c.forget(q)
+}
+
+// abort gives an attempt up. It counts as out until its connection is closed: what is sent elsewhere
+// before that would be a second copy.
+func (c *Core) abort(a *attempt, as decide.Outcome) {
+	if a.ended || a.first || a.aborted {
+		return
 	}
-	c.finish(a, Outcome{Outcome: o})
+	a.aborted, a.as = true, as
+	a.call.Abort()
 }
 
 func (c *Core) left(q *request) {
@@ -382,10 +391,7 @@
 		}
 	case decide.Cancel:
 		if q := c.requests[a.Request]; q != nil && a.Attempt < len(q.attempts) {
-			if t := q.attempts[a.Attempt]; !t.ended && !t.first {
-				t.call.Abort()
-				c.finish(t, Outcome{Outcome: decide.Cancelled})
-			}
+			c.abort(q.attempts[a.Attempt], decide.Cancelled)
 		}
 	case decide.Wake:
 		time.AfterFunc(a.After, func() { c.post(func() { c.handle(decide.Timer{ID: a.ID}) }) })
@@ -412,7 +418,7 @@
 	}
 	c.counters.Sent++
 	a.call = c.servers.Send(q.Call, to.Target, limit, a)
-	a.timer = time.AfterFunc(limit, func() { c.post(func() { c.expire(a) }) })
+	a.timer = time.AfterFunc(limit, func() { c.post(func() { c.abort(a, decide.TimedOut) }) })
 }
 
 // First implements Events.
@@ -431,10 +437,8 @@
 
 func (c *Core) first(a *attempt, s Stream) bool {
 	q := a.req
-	if a.ended || q.answer == nil {
-		if !a.ended {
-			c.finish(a, Outcome{Outcome: decide.Cancelled})
-		}
+	if a.aborted || q.answer == nil {
+		c.finish(a, Outcome{Outcome: decide.Reset})
 		return false
 	}
 	a.first, q.streamed = true, true
@@ -449,12 +453,22 @@
 // Ended implements Events.
 func (a *attempt) Ended(o Outcome) { a.core.post(func() { a.core.finish(a, o) }) }
 
+func (a *attempt) name() string {
+	if a.to == nil {
+		return "none"
+	}
+	return a.to.Name
+}
+
 // finish takes an attempt's one outcome.
 func (c *Core) finish(a *attempt, o Outcome) {
 	if a.ended {
 		return
 	}
 	a.ended = true
+	if a.aborted && o.Outcome == decide.Reset {
+		o.Outcome = a.as
+	}
 	if a.timer != nil {
 		a.timer.Stop()
 	}
@@ -470,6 +484,12 @@
 		q.loose = true
 	}
 	c.counters.outcome(o.Outcome)
+	switch o.Outcome {
+	case decide.Served, decide.ReadDone, decide.Full:
+	default:
+		log.Printf("event=attempt_lost id=%s attempt=%d server=%s outcome=%s after=%v first=%t", q.Call.ID, a.number,
+			a.name(), outcomeName(o.Outcome), c.now()-a.sent, a.first)
+	}
 	if a.first && o.Outcome != decide.Served {
 		c.counters.Broken++
 	}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -106,13 +106,11 @@
 }
 
 // Abort implements core.Attempt.
-func (a *attempt) Abort() bool {
+func (a *attempt) Abort() {
 	a.body.mu.Lock()
 	a.body.aborted = true
-	given := a.body.given
 	a.body.mu.Unlock()
 	a.cancel()
-	return given && !a.unsent.Load()
 }
 
 // Send implements core.Servers.
@@ -147,7 +145,9 @@
 	resp, err := a.pool.transport.RoundTrip(req)
 	if err != nil {
 		a.cancel()
-		ev.Ended(core.Outcome{Outcome: a.lost(written)})
+		o := a.lost(written)
+		log.Printf("event=call_failed id=%s server=%s outcome=%d err=%q", call.ID, to.Name, o, err)
+		ev.Ended(core.Outcome{Outcome: o})
 		return
 	}
 	if resp.StatusCode == http.StatusOK {
