Tests for core, servers, clients and discovery over stand-in replicas

The tests cut streams at every few bytes, race first events against clients that leave, hold filings that may have run, and count calls on a connection the replica closed while idle: one, so Transport resends nothing unseen.

--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,157 @@
+package clients_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+
+	"rampspread/internal/clients"
+	"rampspread/internal/testkit"
+)
+
+const props = "prefix=5c0f6e1a2b3d4c59,prompt_len=120,prefix_len=48,max_out=80"
+
+func request(t testing.TB, url string, change func(*http.Request)) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(`{"stream":true}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, v := range map[string]string{"X-Trace-Id": "9b1f03aa5c7e2d41", "X-Qos": "frage", "X-Object": "7f3a",
+		"X-Expires-In": "30000m", "X-Props": props} {
+		r.Header.Set(name, v)
+	}
+	if change != nil {
+		change(r)
+	}
+	return r
+}
+
+func serve(t testing.TB, read, write testkit.Script) (*testkit.Fleet, *clients.Front, string) {
+	t.Helper()
+	fleet := testkit.NewFleet(t, read, write)
+	front := clients.New(fleet.Core, fleet.Settings)
+	s := httptest.NewServer(front)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return fleet, front, s.URL
+}
+
+func do(t testing.TB, r *http.Request) (*http.Response, string, error) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func TestServedUnchanged(t *testing.T) {
+	fleet, _, url := serve(t, testkit.Read, testkit.Write("alpha", "beta"))
+	resp, body, err := do(t, request(t, url, nil))
+	if err != nil || resp.StatusCode != http.StatusOK || body != testkit.Answer("alpha", "beta") {
+		t.Errorf("status %d, body %q, %v", resp.StatusCode, body, err)
+	}
+	if h := fleet.Writer.Header(0); h.Get("X-Trace-Id") != "9b1f03aa5c7e2d41" {
+		t.Errorf("the writer got %v", h)
+	}
+}
+
+// A broken stream must not look whole: it ends without the last chunk.
+func TestBrokenStream(t *testing.T) {
+	whole := testkit.Answer("alpha", "beta")
+	fleet, _, url := serve(t, testkit.Read, testkit.Read)
+	for n := 1; n < len(whole); n += 29 {
+		fleet.Writer.Follow(testkit.Cut(n, "alpha", "beta"))
+		resp, body, err := do(t, request(t, url, nil))
+		if err == nil || resp.StatusCode != http.StatusOK || body != whole[:n] {
+			t.Errorf("cut at %d: status %d, body %q, %v", n, resp.StatusCode, body, err)
+		}
+	}
+}
+
+func TestRefusedSaysWhen(t *testing.T) {
+	_, _, url := serve(t, testkit.Status(503, true), testkit.Read)
+	resp, _, _ := do(t, request(t, url, nil))
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); resp.StatusCode != 429 || err != nil || s <= 0 {
+		t.Errorf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
+
+func TestFilingThatMayHaveRunPromisesNothing(t *testing.T) {
+	fleet, _, url := serve(t, testkit.Read, testkit.Status(500, false))
+	resp, _, _ := do(t, request(t, url, func(r *http.Request) { r.Header.Set("X-Qos", "meldung") }))
+	if total, _ := fleet.Writer.Calls(); resp.StatusCode != http.StatusBadGateway || total != 1 {
+		t.Errorf("status %d after %d calls", resp.StatusCode, total)
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	fleet, front, url := serve(t, testkit.Read, testkit.Write("a"))
+	set := func(name, value string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(name, value) }
+	}
+	cases := map[string]func(*http.Request){
+		"no id":          set("X-Trace-Id", ""),
+		"id with a path": set("X-Trace-Id", "../x"),
+		"long id":        set("X-Trace-Id", strings.Repeat("a", 65)),
+		"no class":       set("X-Qos", ""),
+		"unknown class":  set("X-Qos", "chat"),
+		"no deadline":    set("X-Expires-In", ""),
+		"no unit":        set("X-Expires-In", "4800"),
+		"no time":        set("X-Expires-In", "m"),
+		"past deadline":  set("X-Expires-In", "-1m"),
+		"no number":      set("X-Expires-In", "NaNm"),
+		"far deadline":   set("X-Expires-In", "1e30u"),
+		"no props":       set("X-Props", ""),
+		"no length":      set("X-Props", "max_out=8"),
+		"bad length":     set("X-Props", "prompt_len=-4"),
+		"half a token":   set("X-Props", "prompt_len=4.5"),
+		"no pair":        set("X-Props", "prompt_len=4,prefix"),
+		"other path":     func(r *http.Request) { r.URL.Path = "/v2" },
+		"no post":        func(r *http.Request) { r.Method = http.MethodPut },
+		"empty body":     func(r *http.Request) { r.Body, r.ContentLength = http.NoBody, 0 },
+		"large body": func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, 256<<10+1))), 256<<10+1
+		},
+	}
+	for name, change := range cases {
+		if resp, _, _ := do(t, request(t, url, change)); resp.StatusCode/100 != 4 || resp.StatusCode == 429 {
+			t.Errorf("%s: status %d", name, resp.StatusCode)
+		}
+	}
+	if total, _ := fleet.Reader.Calls(); total != 0 || front.Bad() != int64(len(cases)) {
+		t.Errorf("%d sends, %d counted of %d", total, front.Bad(), len(cases))
+	}
+	if resp, _, err := do(t, request(t, url, nil)); resp.StatusCode != 200 || err != nil {
+		t.Errorf("a good request after them: status %d, %v", resp.StatusCode, err)
+	}
+}
+
+// FuzzHead feeds raw request bytes to the front over net/http's parser: every request that is taken is
+// answered, and nothing panics.
+func FuzzHead(f *testing.F) {
+	valid := "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\nX-Qos: frage\r\n" +
+		"X-Expires-In: 4800m\r\nX-Props: " + props + "\r\nContent-Length: 2\r\n\r\n{}"
+	for _, text := range testkit.Broken(2, valid, strings.Replace(valid, "4800m", "4800000u", 1)) {
+		f.Add(text)
+	}
+	_, front, _ := serve(f, testkit.Read, testkit.Write("a"))
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+		w := httptest.NewRecorder()
+		front.ServeHTTP(w, r)
+		if w.Code < 200 || w.Code > 599 {
+			t.Errorf("status %d for %q", w.Code, text)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,200 @@
+package core_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"rampspread/decide"
+	"rampspread/internal/core"
+	"rampspread/internal/testkit"
+)
+
+// hand is a set of servers that does only what the test tells it.
+type hand struct {
+	sends    chan sent
+	aborts   chan string
+	releases chan string
+}
+
+type sent struct {
+	to string
+	ev core.Events
+}
+
+type handAttempt struct {
+	h  *hand
+	to string
+}
+
+func (a handAttempt) Abort() { a.h.aborts <- a.to }
+
+func (h *hand) Send(_ core.Call, to core.Target, _ time.Duration, ev core.Events) core.Attempt {
+	h.sends <- sent{to.Name, ev}
+	return handAttempt{h, to.Name}
+}
+
+func (h *hand) Release(call core.Call, _ []core.Target) { h.releases <- call.ID }
+
+type noStream struct{ io.ReadCloser }
+
+func start(t *testing.T) (*hand, *core.Core) {
+	t.Helper()
+	h := &hand{sends: make(chan sent, 64), aborts: make(chan string, 64), releases: make(chan string, 64)}
+	cfg, err := testkit.Settings(t).Router()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := core.New(cfg, 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() { stop(); done.Wait() })
+	c.Roster(true, []core.Listing{
+		{Name: "r1", Kind: 0, State: decide.Ready, Weight: 1}, {Name: "r2", Kind: 0, State: decide.Ready, Weight: 1},
+		{Name: "w1", Kind: 1, State: decide.Ready, Weight: 1}, {Name: "w2", Kind: 1, State: decide.Ready, Weight: 1},
+	})
+	return h, c
+}
+
+func ask(c *core.Core, ctx context.Context, class int, wait time.Duration) chan core.Answer {
+	got := make(chan core.Answer, 2)
+	req := core.Request{Call: core.Call{ID: "x"}, Class: class, Prompt: 100, Deadline: time.Now().Add(wait)}
+	go func() { got <- c.Do(ctx, req) }()
+	return got
+}
+
+func TestServed(t *testing.T) {
+	h, c := start(t)
+	got := ask(c, context.Background(), 1, time.Minute)
+	(<-h.sends).ev.Ended(core.Outcome{Outcome: decide.ReadDone})
+	w := <-h.sends
+	if w.to != "w1" && w.to != "w2" || !w.ev.First(noStream{}) {
+		t.Fatalf("written at %s, or the stream was not taken", w.to)
+	}
+	if a := <-got; a.Kind != core.Served || a.Stream == nil {
+		t.Fatalf("answer %+v", a)
+	}
+	// What breaks after the first event has its answer: nothing more is sent, not even a release.
+	w.ev.Ended(core.Outcome{Outcome: decide.Reset})
+	if n := c.Counters(context.Background()); n.Open != 0 || n.Broken != 1 || n.Served != 1 || len(h.sends)+len(h.releases) > 0 {
+		t.Errorf("counters %+v, %d sends, %d releases", n, len(h.sends), len(h.releases))
+	}
+}
+
+// A filing that may have run is not sent again, and its answer promises nothing.
+func TestFilingMayHaveRun(t *testing.T) {
+	for _, o := range []decide.Outcome{decide.Reset, decide.Errored, decide.TimedOut} {
+		h, c := start(t)
+		got := ask(c, context.Background(), 1, time.Minute)
+		(<-h.sends).ev.Ended(core.Outcome{Outcome: decide.ReadDone})
+		(<-h.sends).ev.Ended(core.Outcome{Outcome: o})
+		if a := <-got; a.Kind != core.Failed || len(h.sends) > 0 {
+			t.Errorf("outcome %d: answer %+v, %d more sends", o, a, len(h.sends))
+		}
+		<-h.releases
+	}
+}
+
+// A filing whose writer surely never got it goes to another.
+func TestFilingNeverRan(t *testing.T) {
+	h, c := start(t)
+	got := ask(c, context.Background(), 1, time.Minute)
+	(<-h.sends).ev.Ended(core.Outcome{Outcome: decide.ReadDone})
+	first := <-h.sends
+	first.ev.Ended(core.Outcome{Outcome: decide.ConnectFailed})
+	second := <-h.sends
+	if second.to == first.to || !second.ev.First(noStream{}) {
+		t.Errorf("second writer %s after %s", second.to, first.to)
+	}
+	<-got
+}
+
+// At the deadline a silent attempt is aborted; the answer comes when its connection is closed, and even
+// if that is never told. Whatever comes afterwards changes nothing.
+func TestSilentUntilDeadline(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		h, c := start(t)
+		got := ask(c, context.Background(), 0, 300*time.Millisecond)
+		s := <-h.sends
+		<-h.aborts
+		if told {
+			s.ev.Ended(core.Outcome{Outcome: decide.Reset})
+		}
+		if a := <-got; a.Kind == core.Served {
+			t.Fatalf("told %t: answer %+v", told, a)
+		}
+		if s.ev.First(noStream{}) {
+			t.Errorf("told %t: a stream was taken after the answer", told)
+		}
+		s.ev.Ended(core.Outcome{Outcome: decide.ReadDone})
+		n := c.Counters(context.Background())
+		if n.Open != 0 || n.Overdue+n.Refused+n.Failed != 1 || len(h.sends) > 0 {
+			t.Errorf("told %t: counters %+v, %d more sends", told, n, len(h.sends))
+		}
+		// What the read may have left is let go, and again once it must have shown.
+		<-h.releases
+	}
+}
+
+// An attempt that timed out counts as out until its connection is closed, so the next one waits for that.
+func TestNoCopyBeforeClose(t *testing.T) {
+	h, c := start(t)
+	got := ask(c, context.Background(), 1, 30*time.Second)
+	s := <-h.sends
+	<-h.aborts // the module's time-out for a read
+	c.Counters(context.Background())
+	if len(h.sends) > 0 {
+		t.Fatal("a copy was sent while the first was out")
+	}
+	s.ev.Ended(core.Outcome{Outcome: decide.Reset})
+	if next := <-h.sends; next.to == s.to {
+		t.Errorf("the read went to %s again", next.to)
+	}
+	_ = got
+}
+
+func TestClientLeft(t *testing.T) {
+	h, c := start(t)
+	ctx, leave := context.WithCancel(context.Background())
+	got := ask(c, ctx, 0, time.Minute)
+	s := <-h.sends
+	leave()
+	if a := <-got; a.Kind != core.Left {
+		t.Fatalf("answer %+v", a)
+	}
+	<-h.aborts
+	s.ev.Ended(core.Outcome{Outcome: decide.ReadDone}) // the read won the race against the close
+	<-h.releases
+	if n := c.Counters(context.Background()); n.Open != 0 || n.Left != 1 || len(h.sends) > 0 {
+		t.Errorf("counters %+v, %d more sends", n, len(h.sends))
+	}
+}
+
+// A first event races the client's leaving: one of them wins, and a lost stream is refused.
+func TestRaces(t *testing.T) {
+	h, c := start(t)
+	for range 50 {
+		ctx, leave := context.WithCancel(context.Background())
+		got := ask(c, ctx, 0, time.Minute)
+		(<-h.sends).ev.Ended(core.Outcome{Outcome: decide.ReadDone})
+		w := <-h.sends
+		taken := make(chan bool)
+		go func() { taken <- w.ev.First(noStream{}) }()
+		leave()
+		a := <-got
+		if won := <-taken; won != (a.Kind == core.Served) {
+			t.Fatalf("stream taken %t, answer %+v", won, a)
+		} else if won {
+			w.ev.Ended(core.Outcome{Outcome: decide.Served})
+		}
+	}
+	if n := c.Counters(context.Background()); n.Open != 0 || n.Served+n.Left != 50 {
+		t.Errorf("counters %+v", n)
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,133 @@
+package discovery_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"rampspread/decide"
+	"rampspread/internal/core"
+	"rampspread/internal/discovery"
+	"rampspread/internal/testkit"
+)
+
+func entry(id, state string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":"127.0.0.1:9000","zone":"wien","machineType":"prefill","cell":3,`+
+		`"lifecycle":%q,"weight":1.0,"startedAtMs":1700000000000}`, id, state)
+}
+
+func list(generation int, reset bool, entries ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`, generation, reset, strings.Join(entries, ","))
+}
+
+type update struct {
+	full    bool
+	entries []core.Listing
+}
+
+// agent is a stand-in for discovery: each watch gets the next of its scripts and then ends.
+type agent struct {
+	mu      sync.Mutex
+	whole   string
+	watches []string
+	queries []string
+}
+
+func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	a.queries = append(a.queries, r.URL.RawQuery)
+	if r.URL.Query().Get("stream") == "" {
+		io.WriteString(w, a.whole)
+		a.mu.Unlock()
+		return
+	}
+	text := ""
+	if len(a.watches) > 0 {
+		text, a.watches = a.watches[0], a.watches[1:]
+	}
+	a.mu.Unlock()
+	io.WriteString(w, text)
+}
+
+func TestWatch(t *testing.T) {
+	a := &agent{whole: list(41, true, entry("s1", "ready"), entry("s2", "ready")), watches: []string{
+		"\n" + list(42, false, entry("s1", "draining")) + "\n\n" + list(43, false, entry("s1", "gone")) + "\n",
+		"{cut\n" + list(44, false, entry("s3", "ready")) + "\n", // after a line that cannot be read all is taken anew
+		list(50, true, entry("s4", "ready")) + "\n",
+	}}
+	s := httptest.NewServer(a)
+	defer s.Close()
+	updates := make(chan update, 64)
+	w := discovery.New(s.Listener.Addr().String(), testkit.Settings(t), func(full bool, e []core.Listing) {
+		updates <- update{full, e}
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	for i, want := range []struct {
+		full  bool
+		names string
+		state decide.ServerState
+	}{
+		{true, "s1 s2", decide.Ready}, {false, "s1", decide.Draining}, {false, "s1", decide.Gone},
+		{true, "s1 s2", decide.Ready}, // the watch ended
+		{true, "s1 s2", decide.Ready}, // the watch could not be read
+		{true, "s4", decide.Ready},
+	} {
+		u := <-updates
+		var names []string
+		for _, e := range u.entries {
+			names = append(names, e.Name)
+		}
+		if u.full != want.full || strings.Join(names, " ") != want.names || u.entries[0].State != want.state {
+			t.Errorf("update %d: %+v, want %+v", i, u, want)
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.queries[1] != "stream=1&index=41" || w.Bad() != 1 {
+		t.Errorf("queries %q, %d bad", a.queries, w.Bad())
+	}
+}
+
+func TestBadEntriesAreSkipped(t *testing.T) {
+	var got []core.Listing
+	w := discovery.New("", testkit.Settings(t), func(_ bool, e []core.Listing) { got = e })
+	var l discovery.List
+	good := entry("s1", "ready")
+	text := list(1, true, `7`, `{"instanceId":4}`, entry("s2", "asleep"), strings.Replace(good, "wien", "linz", 1),
+		strings.Replace(good, "prefill", "m9", 1), strings.Replace(good, ":9000", "", 1), good)
+	if err := json.Unmarshal([]byte(text), &l); err != nil {
+		t.Fatal(err)
+	}
+	w.Apply(l, true)
+	if len(got) != 1 || got[0].Name != "s1" || got[0].Cell != 3 || got[0].Started.UnixMilli() != 1700000000000 || w.Bad() != 6 {
+		t.Errorf("got %+v, %d bad", got, w.Bad())
+	}
+}
+
+func FuzzList(f *testing.F) {
+	for _, text := range testkit.Broken(3, list(7, false, entry("s1", "ready"), entry("s2", "gone"))) {
+		f.Add(text)
+	}
+	settings := testkit.Settings(f)
+	f.Fuzz(func(t *testing.T, text string) {
+		var l discovery.List
+		if json.Unmarshal([]byte(text), &l) != nil {
+			return
+		}
+		n := 0
+		w := discovery.New("", settings, func(_ bool, e []core.Listing) { n = len(e) })
+		w.Apply(l, false)
+		if n+int(w.Bad()) != len(l.Instances) {
+			t.Errorf("%d taken and %d bad of %d", n, w.Bad(), len(l.Instances))
+		}
+	})
+}
--- /dev/null
+++ b/internal/servers/servers_test.go
@@ -0,0 +1,279 @@
+package servers_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"rampspread/decide"
+	"rampspread/internal/core"
+	"rampspread/internal/servers"
+	"rampspread/internal/testkit"
+)
+
+// events records an attempt's news.
+type events struct {
+	ended  chan core.Outcome
+	first  chan core.Stream
+	reject bool
+}
+
+func newEvents() *events {
+	return &events{ended: make(chan core.Outcome, 4), first: make(chan core.Stream, 4)}
+}
+
+func (e *events) First(s core.Stream) bool {
+	if e.reject {
+		return false
+	}
+	e.first <- s
+	return true
+}
+
+func (e *events) Ended(o core.Outcome) { e.ended <- o }
+
+var call = core.Call{ID: "id-1", Method: http.MethodPost, Target: "/v1/chat/completions?a=b", Body: []byte("{}")}
+
+func send(t *testing.T, addr string) (core.Attempt, *events) {
+	t.Helper()
+	pool, ev := servers.New(testkit.Settings(t), 8), newEvents()
+	t.Cleanup(pool.Close)
+	return pool.Send(call, core.Target{Name: "s", Addr: addr}, 5*time.Second, ev), ev
+}
+
+func TestOutcomes(t *testing.T) {
+	drop := func(http.ResponseWriter, *http.Request, int) { panic(http.ErrAbortHandler) }
+	for name, c := range map[string]struct {
+		script testkit.Script
+		want   decide.Outcome
+	}{
+		"read":              {testkit.Read, decide.ReadDone},
+		"error":             {testkit.Status(500, false), decide.Errored},
+		"full":              {testkit.Status(503, true), decide.Full},
+		"over":              {testkit.Status(504, true), decide.Full},
+		"503 without proof": {testkit.Status(503, false), decide.Errored},
+		"no state":          {testkit.Status(410, true), decide.NoState},
+		"410 without proof": {testkit.Status(410, false), decide.Errored},
+		"unknown":           {testkit.Status(400, false), decide.Errored},
+		"dropped":           {drop, decide.Reset},
+		"no event":          {testkit.Cut(0, "a"), decide.Reset},
+	} {
+		r := testkit.NewReplica(t, c.script)
+		_, ev := send(t, r.Addr)
+		if o := <-ev.ended; o.Outcome != c.want {
+			t.Errorf("%s: outcome %d, want %d", name, o.Outcome, c.want)
+		}
+		if total, _ := r.Calls(); total != 1 {
+			t.Errorf("%s: %d calls", name, total)
+		}
+		if h := r.Header(0); h.Get("X-Trace-Id") != call.ID || h.Get("X-Expires-In") != "5000m" || h.Get("Accept-Encoding") != "" {
+			t.Errorf("%s: head %v", name, h)
+		}
+	}
+}
+
+func TestConnectFailed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	_, ev := send(t, addr)
+	if o := <-ev.ended; o.Outcome != decide.ConnectFailed {
+		t.Errorf("outcome %d", o.Outcome)
+	}
+}
+
+// A connection that the replica closed while it stood idle must not make Transport send a call again
+// by itself: a call that was written to it may have run.
+func TestNoHiddenResend(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	calls := make(chan int, 8)
+	go func() {
+		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					calls <- n
+					if n > 0 {
+						return // it came on a used connection: closed with no answer
+					}
+					io.WriteString(conn, "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}")
+				}
+			}()
+		}
+	}()
+	pool, ev := servers.New(testkit.Settings(t), 8), newEvents()
+	defer pool.Close()
+	for _, want := range []decide.Outcome{decide.ReadDone, decide.Reset} {
+		pool.Send(call, core.Target{Name: "s", Addr: l.Addr().String()}, time.Second, ev)
+		if o := <-ev.ended; o.Outcome != want {
+			t.Fatalf("outcome %d, want %d", o.Outcome, want)
+		}
+	}
+	if a, b := <-calls, <-calls; a != 0 || b != 1 || len(calls) != 0 {
+		t.Errorf("calls %d, %d and %d more", a, b, len(calls))
+	}
+}
+
+// The end of an aborted attempt is told only when its connection is closed: a copy sent elsewhere before
+// that is a second copy, which a filing must never have.
+func TestAbortEndsAfterClose(t *testing.T) {
+	closed := make(chan struct{})
+	r := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		testkit.Silent(w, r, n)
+		close(closed)
+	})
+	a, ev := send(t, r.Addr)
+	testkit.Eventually(t, "the call", func() bool { n, _ := r.Calls(); return n == 1 })
+	a.Abort()
+	if o := <-ev.ended; o.Outcome != decide.Reset {
+		t.Errorf("outcome %d", o.Outcome)
+	}
+	<-closed
+}
+
+// An attempt that is aborted before the last byte of its call was written never ran. The body is more than
+// any socket buffer holds, and nobody reads it.
+func TestAbortBeforeLastByte(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	pool, ev := servers.New(testkit.Settings(t), 8), newEvents()
+	defer pool.Close()
+	big := call
+	big.Body = make([]byte, 64<<20)
+	a := pool.Send(big, core.Target{Name: "s", Addr: l.Addr().String()}, time.Second, ev)
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	a.Abort()
+	if o := <-ev.ended; o.Outcome != decide.ConnectFailed {
+		t.Errorf("outcome %d", o.Outcome)
+	}
+}
+
+func TestStreamWhole(t *testing.T) {
+	r := testkit.NewReplica(t, testkit.Write("alpha", "beta"))
+	_, ev := send(t, r.Addr)
+	s := <-ev.first
+	got, err := io.ReadAll(s)
+	if err != nil || string(got) != testkit.Answer("alpha", "beta") {
+		t.Errorf("read %q, %v", got, err)
+	}
+	s.Close()
+	if o := <-ev.ended; o.Outcome != decide.Served || o.Kept != 4 || len(ev.ended) > 0 {
+		t.Errorf("ended %+v and %d more", o, len(ev.ended))
+	}
+}
+
+// Wherever a stream is cut, what came is passed on unchanged, and the end is an error, never io.EOF.
+func TestStreamCutAnywhere(t *testing.T) {
+	whole := testkit.Answer("alpha", "beta")
+	for n := 1; n < len(whole); n += 7 {
+		r := testkit.NewReplica(t, testkit.Cut(n, "alpha", "beta"))
+		_, ev := send(t, r.Addr)
+		s := <-ev.first
+		got, err := io.ReadAll(s)
+		if err == nil || string(got) != whole[:n] {
+			t.Errorf("cut at %d: read %q, %v", n, got, err)
+		}
+		s.Close()
+		if o := <-ev.ended; o.Outcome != decide.Reset || len(ev.ended) > 0 {
+			t.Errorf("cut at %d: ended %+v and %d more", n, o, len(ev.ended))
+		}
+	}
+}
+
+func TestStreamRejected(t *testing.T) {
+	gone := make(chan struct{})
+	r := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		testkit.Write("a")(w, r, n)
+		<-r.Context().Done()
+		close(gone)
+	})
+	pool, ev := servers.New(testkit.Settings(t), 8), newEvents()
+	defer pool.Close()
+	ev.reject = true
+	pool.Send(call, core.Target{Name: "s", Addr: r.Addr}, time.Second, ev)
+	<-gone
+	if len(ev.ended) > 0 {
+		t.Error("an end after the rejection")
+	}
+}
+
+// A release goes on to the next replica until one that lives has taken it.
+func TestReleaseThroughOneThatLives(t *testing.T) {
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	live := testkit.NewReplica(t, testkit.Read)
+	pool := servers.New(testkit.Settings(t), 8)
+	defer pool.Close()
+	pool.Release(call, []core.Target{{Name: "dead", Addr: dead.Addr().String()}, {Name: "live", Addr: live.Addr}})
+	testkit.Eventually(t, "the release", func() bool { return live.Releases(call.ID) == 1 })
+}
+
+// FuzzAnswer feeds a replica's bytes to the client side: whatever comes, there is one end and no panic.
+func FuzzAnswer(f *testing.F) {
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, text := range testkit.Broken(1, head+"Connection: close\r\n\r\n"+testkit.Answer("a"),
+		"HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":3}",
+		"HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nEndpoint-Load-Metrics: TEXT util=0.5, queue=1, x0=0.2\r\nContent-Length: 0\r\n\r\n",
+		head+"Connection: close\r\n\r\n: Endpoint-Load-Metrics: TEXT util=0.5, queue=1, x0=0.2\n\n") {
+		f.Add(text)
+	}
+	settings := testkit.Settings(f)
+	f.Fuzz(func(t *testing.T, text string) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Skip(err)
+		}
+		defer l.Close()
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				io.Copy(io.Discard, req.Body)
+				io.Copy(conn, strings.NewReader(text))
+			}
+		}()
+		pool, ev := servers.New(settings, 8), newEvents()
+		defer pool.Close()
+		pool.Send(call, core.Target{Name: "s", Addr: l.Addr().String()}, time.Second, ev)
+		select {
+		case s := <-ev.first:
+			_, err := io.ReadAll(s)
+			s.Close()
+			if o := <-ev.ended; (o.Outcome == decide.Served) != (err == nil) || errors.Is(err, io.EOF) {
+				t.Errorf("outcome %d after %v", o.Outcome, err)
+			}
+		case <-ev.ended:
+		}
+	})
+}
