A refusal always says when to come back

Seen: refusals without an estimate (decide.giveUp with excess 0) said Retry-After 0.000; the front test showed it. Conclusion: the module stays as it is, and the core gives 200 ms where the module names no time (core.do, Refuse).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -110,6 +111,9 @@
 
 const (
 	queueSize = 4096
+	// A refused client is told when to come back even where the module has no estimate of it: one that is
+	// told nothing may be back at once.
+	comeBack = 200 * time.Millisecond
 	// At the deadline the module has this long to answer by itself.
 	lastWord = 8 * time.Millisecond
 	// A read that ends well just as its connection is given up leaves a state behind that the first
@@ -380,7 +384,7 @@
 	case decide.Refuse:
 		if q := c.requests[a.Request]; q != nil && q.answer != nil {
 			c.counters.Refused++
-			c.reply(q, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
+			c.reply(q, Answer{Kind: Refused, RetryAfter: cmp.Or(a.RetryAfter, comeBack)})
 			c.forget(q)
 		}
 	case decide.Fail:
