Add the chat front, the guard before both fronts, sub-commands, example and counters

The chat front runs on the same core: models stand for classes, deadlines and refusals are mapped to OpenAI's error object, filings need an idempotency key, and a key whose first try may have run never runs again. The guard counts heads that net/http turned away, bounds the bodies in memory, and ends connections while draining. Bare run has no chat front; serve -chat deploy/chat.json has one.

--- a/cmd/rampspread/main.go
+++ b/cmd/rampspread/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -9,8 +10,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-
-	"context"
 )
 
 const version = "0.1.0"
@@ -18,25 +17,26 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, os.Args[1:], os.Stdout); err != nil {
-		if !errors.Is(err, flag.ErrHelp) {
-			fmt.Fprintln(os.Stderr, "rampspread:", err)
-		}
+	print := make(chan os.Signal, 1)
+	signal.Notify(print, syscall.SIGUSR1)
+	if err := run(ctx, os.Args[1:], print, os.Stdout); err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "rampspread:", err)
 		os.Exit(1)
 	}
 }
 
 // run carries out one sub-command; without one it serves.
-func run(ctx context.Context, args []string, out io.Writer) error {
+func run(ctx context.Context, args []string, print <-chan os.Signal, out io.Writer) error {
 	name := "serve"
 	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
 		name, args = args[0], args[1:]
 	}
-	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags := flag.NewFlagSet("rampspread "+name, flag.ContinueOnError)
 	flags.SetOutput(io.Discard)
 	switch name {
-	case "serve":
-		config := flags.String("config", os.Getenv("LB_CONFIG"), "the configuration file")
+	case "serve", "check":
+		config := flags.String("config", os.Getenv("LB_CONFIG"), "the configuration `file`")
+		chatFile := flags.String("chat", "", "the chat front's `file`, such as deploy/chat.json; none: no chat front")
 		if err := parse(flags, args, out); err != nil {
 			return err
 		}
@@ -44,18 +44,15 @@
 		if err != nil {
 			return err
 		}
-		return serve(ctx, cfg)
-	case "check":
-		config := flags.String("config", os.Getenv("LB_CONFIG"), "the configuration file")
-		if err := parse(flags, args, out); err != nil {
-			return err
-		}
-		cfg, err := load(*config)
+		chatCfg, err := loadChat(*chatFile, &cfg.Settings)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "%s: good, %d classes, %d kinds, listens on %s\n", *config, len(cfg.Settings.Classes),
-			len(cfg.Settings.Kinds), cfg.Listen)
+		if name == "serve" {
+			return serve(ctx, cfg, chatCfg, print, out)
+		}
+		fmt.Fprintf(out, "%s: good: %d classes, %d kinds, listens on %s, chat %t\n", *config,
+			len(cfg.Settings.Classes), len(cfg.Settings.Kinds), cfg.Listen, chatCfg != nil)
 		return nil
 	case "version":
 		if err := parse(flags, args, out); err != nil {
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -5,17 +5,23 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
+	"golang.org/x/sync/semaphore"
 
+	"rampspread/internal/chat"
 	"rampspread/internal/clients"
 	"rampspread/internal/core"
 	"rampspread/internal/discovery"
@@ -24,10 +30,11 @@
 )
 
 const (
-	headWait    = 5 * time.Second  // for a client to send a request's head
-	clientIdle  = 60 * time.Second // between requests on a connection
-	lameDuck    = 500 * time.Millisecond
-	lastCall    = 400 * time.Millisecond
+	headWait   = 5 * time.Second  // for a client to send a request's head
+	clientIdle = 60 * time.Second // between requests on a connection
+	// After SIGTERM new connections still come for up to 0.4 s, and requests on open ones for longer.
+	lameDuck    = 500 * time.Millisecond // until idle connections are closed
+	lastCall    = 400 * time.Millisecond // from then until the listener is
 	shutdownFor = 20 * time.Second
 )
 
@@ -55,15 +62,46 @@
 	return cfg, nil
 }
 
-// serve is one dispatcher, from its start to its orderly end.
-func serve(ctx context.Context, cfg *wire.Config) error {
+// loadChat reads the chat front's file; no path means that there is no such front.
+func loadChat(path string, settings *wire.Settings) (*chat.Config, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("chat: %w", err)
+	}
+	cfg, err := chat.ParseConfig(text, settings)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+// program is one running dispatcher.
+type program struct {
+	core     *core.Core
+	pool     *servers.Pool
+	watch    *discovery.Watcher
+	front    *clients.Front
+	chat     *chat.Front // nil without one
+	bodies   *semaphore.Weighted
+	draining atomic.Bool
+	guards   []*clients.Guard
+	servers  []*http.Server
+}
+
+// serve is one dispatcher, from its start to its orderly end. Each value of print asks for the counters.
+func serve(ctx context.Context, cfg *wire.Config, chatCfg *chat.Config, print <-chan os.Signal, out io.Writer) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	if mb := cfg.Limits.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(mb) << 20 * 6 / 10)
+	memory := int64(256 << 20)
+	if cfg.Limits.MemoryMB > 0 {
+		memory = int64(cfg.Limits.MemoryMB) << 20
 	}
-	sockets := cfg.Limits.Sockets
-	if sockets <= 0 {
-		sockets = 1024
+	debug.SetMemoryLimit(memory * 6 / 10)
+	sockets := 1024
+	if cfg.Limits.Sockets > 0 {
+		sockets = cfg.Limits.Sockets
 	}
 	seed, err := cfg.SeedNumber()
 	if err != nil {
@@ -73,52 +111,111 @@
 	if err != nil {
 		return err
 	}
-	pool := servers.New(&cfg.Settings, max(sockets/32, 4))
-	c, err := core.New(router, seed, pool)
-	if err != nil {
+	p := &program{pool: servers.New(&cfg.Settings, max(sockets/32, 4)), bodies: semaphore.NewWeighted(memory / 8)}
+	if p.core, err = core.New(router, seed, p.pool); err != nil {
 		return err
 	}
+	p.watch = discovery.New(cfg.Discovery, &cfg.Settings, p.core.Roster)
+	p.front = clients.New(p.core, &cfg.Settings)
 	running, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
+	defer p.pool.Close()
 	defer stop()
-	tasks.Go(func() { c.Run(running) })
-	watch := discovery.New(cfg.Discovery, &cfg.Settings, c.Roster)
+	tasks.Go(func() { p.core.Run(running) })
 	if len(cfg.Known) > 0 {
 		var known discovery.List
 		if err := json.Unmarshal(cfg.Known, &known); err != nil {
 			return fmt.Errorf("config: known: %w", err)
 		}
-		watch.Apply(known, true)
+		p.watch.Apply(known, true)
 	}
-	tasks.Go(func() { watch.Run(running) })
+	tasks.Go(func() { p.watch.Run(running) })
 
-	front := clients.New(c, &cfg.Settings)
-	listener, err := net.Listen("tcp", cfg.Listen)
+	failed := make(chan error, 2)
+	if err := p.listen(cfg.Listen, p.front, sockets/2, failed); err != nil {
+		return err
+	}
+	if chatCfg != nil {
+		if p.chat, err = chat.New(p.core, &cfg.Settings, chatCfg, time.Now); err != nil {
+			return err
+		}
+		if err := p.listen(chatCfg.Listen, p.chat, sockets/8, failed); err != nil {
+			return err
+		}
+	}
+	log.Printf("event=serving name=%s listen=%s chat=%t", cfg.Name, cfg.Listen, p.chat != nil)
+	for done := false; !done; {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serve: %w", err)
+		case <-print:
+			fmt.Fprintln(out, p.counters(running))
+		case <-ctx.Done():
+			done = true
+		}
+	}
+	err = p.drain()
+	fmt.Fprintln(out, p.counters(running))
+	return err
+}
+
+// listen starts a front on its address, with room for so many connections.
+func (p *program) listen(addr string, front http.Handler, conns int, failed chan<- error) error {
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := &http.Server{Handler: front, ReadHeaderTimeout: headWait, IdleTimeout: clientIdle, MaxHeaderBytes: 16 << 10}
-	failed := make(chan error, 1)
-	tasks.Go(func() { failed <- server.Serve(netutil.LimitListener(listener, sockets/2)) })
-	log.Printf("event=serving name=%s listen=%s", cfg.Name, cfg.Listen)
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-ctx.Done():
-	}
-	// New connections still come for a while: they are taken, and each answer is the last on its
-	// connection. Idle connections close next, and the listener last.
+	server := &http.Server{ReadHeaderTimeout: headWait, IdleTimeout: clientIdle, MaxHeaderBytes: 16 << 10}
+	guard := clients.NewGuard(front, p.bodies, &p.draining)
+	guard.Attach(server)
+	p.guards, p.servers = append(p.guards, guard), append(p.servers, server)
+	go func() {
+		if err := server.Serve(netutil.LimitListener(listener, conns)); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+// drain ends in good order. New connections still come for a while: they are taken, and each answer is the
+// last on its connection. Idle connections close next, and the listeners last.
+func (p *program) drain() error {
 	log.Printf("event=draining")
-	front.Drain()
+	p.draining.Store(true)
 	time.Sleep(lameDuck)
-	server.SetKeepAlivesEnabled(false)
+	for _, s := range p.servers {
+		s.SetKeepAlivesEnabled(false)
+	}
 	time.Sleep(lastCall)
 	end, cancel := context.WithTimeout(context.Background(), shutdownFor)
 	defer cancel()
-	if err := server.Shutdown(end); err != nil {
-		return fmt.Errorf("shutdown: %w", err)
+	var errs []error
+	for _, s := range p.servers {
+		if err := s.Shutdown(end); err != nil {
+			errs = append(errs, fmt.Errorf("shutdown: %w", err))
+		}
 	}
-	log.Printf("event=stopped")
-	return nil
+	return errors.Join(errs...)
+}
+
+// counters is one line of what was taken in, sent and answered.
+func (p *program) counters(ctx context.Context) string {
+	n := p.core.Counters(ctx)
+	bad, skipped := p.front.Bad(), p.pool.Bad()
+	shed := int64(0)
+	for _, g := range p.guards {
+		bad, shed = bad+g.BadHeads(), shed+g.Shed()
+	}
+	if p.chat != nil {
+		bad, skipped = bad+p.chat.Bad(), skipped+p.chat.Skipped()
+	}
+	var outcomes []string
+	for name, count := range n.Outcomes {
+		outcomes = append(outcomes, fmt.Sprintf(" outcome_%s=%d", name, count))
+	}
+	slices.Sort(outcomes)
+	return fmt.Sprintf("event=counters taken=%d open=%d sent=%d released=%d served=%d broken=%d refused=%d failed=%d "+
+		"overdue=%d left=%d bad_requests=%d shed=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Sent, n.Released,
+		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, skipped, p.watch.Bad(), strings.Join(outcomes, ""))
 }
--- /dev/null
+++ b/internal/chat/config.go
@@ -0,0 +1,70 @@
+package chat
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"rampspread/internal/wire"
+)
+
+// Config is the chat front's own file, such as deploy/chat.json.
+type Config struct {
+	Listen string
+	// Models maps the model that a client names to a class of the settings.
+	Models map[string]string
+	// MaxTokens is asked for where a client names no limit.
+	MaxTokens int `json:"max_tokens"`
+	// Filings bounds the table of idempotency keys.
+	Filings struct {
+		Entries int
+		KeepS   float64 `json:"keep_s"`
+	}
+}
+
+// ParseConfig decodes and checks the file's text against the settings.
+func ParseConfig(text []byte, settings *wire.Settings) (*Config, error) {
+	var c Config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("chat: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return nil, fmt.Errorf("chat: listen: %w", err)
+	}
+	if len(c.Models) == 0 {
+		return nil, errors.New("chat: no models")
+	}
+	for model, class := range c.Models {
+		if classIndex(settings, class) < 0 {
+			return nil, fmt.Errorf("chat: model %q: no class %q", model, class)
+		}
+	}
+	if c.MaxTokens <= 0 || c.Filings.Entries <= 0 || !(c.Filings.KeepS > 0 && c.Filings.KeepS < 1e7) {
+		return nil, errors.New("chat: max_tokens, filings.entries and filings.keep_s must be over 0")
+	}
+	return &c, nil
+}
+
+func (c *Config) keep() time.Duration { return time.Duration(c.Filings.KeepS * float64(time.Second)) }
+
+func classIndex(s *wire.Settings, name string) int {
+	for i, c := range s.Classes {
+		if c.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// modelNames are the models in order, for the list of models.
+func (c *Config) modelNames() []string {
+	names := make([]string, 0, len(c.Models))
+	for name := range c.Models {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -34,7 +34,6 @@
 	core     *core.Core
 	settings *wire.Settings
 	bad      atomic.Int64
-	draining atomic.Bool
 }
 
 // New returns a Front on the core.
@@ -43,14 +42,8 @@
 // Bad is how many requests made no sense and were answered without being sent anywhere.
 func (f *Front) Bad() int64 { return f.bad.Load() }
 
-// Drain makes every answer the last one on its connection.
-func (f *Front) Drain() { f.draining.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
 		w.WriteHeader(http.StatusOK)
 		return
@@ -129,7 +122,7 @@
 			req.Tenant = i
 		}
 	}
-	wait, err := expiry(h.Get("X-Expires-In"))
+	wait, err := Expiry(h.Get("X-Expires-In"))
 	if err != nil {
 		return fail(http.StatusBadRequest, "X-Expires-In: %v", err)
 	}
@@ -186,8 +179,8 @@
 	return decide.Key(max(h.Sum64(), 1))
 }
 
-// expiry reads a time such as 4800m (milliseconds) or 4800000u (microseconds).
-func expiry(text string) (time.Duration, error) {
+// Expiry reads a time such as 4800m (milliseconds) or 4800000u (microseconds).
+func Expiry(text string) (time.Duration, error) {
 	if text == "" {
 		return 0, errors.New("missing")
 	}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -110,6 +111,7 @@
 	total    int
 	releases map[string]int
 	headers  []http.Header
+	bodies   []string
 }
 
 // NewReplica starts a replica that follows the script.
@@ -130,7 +132,8 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
 		return // cut before its last byte: it never began
 	}
 	r.mu.Lock()
@@ -138,6 +141,7 @@
 	r.total++
 	r.calls[req.Header.Get("X-Trace-Id")]++
 	r.headers = append(r.headers, req.Header.Clone())
+	r.bodies = append(r.bodies, string(body))
 	r.mu.Unlock()
 	script(w, req, n)
 }
@@ -166,6 +170,13 @@
 	return r.releases[id]
 }
 
+// Bodies are the bodies of all whole calls.
+func (r *Replica) Bodies() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.bodies)
+}
+
 // Header is the head of the nth call.
 func (r *Replica) Header(n int) http.Header {
 	r.mu.Lock()
