--- /dev/null
+++ b/cmd/rampspread/import.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+
+	"rampspread/internal/discovery"
+	"rampspread/internal/workers"
+)
+
+// importOptions says what an Apache or mod_jk file does not.
+type importOptions struct {
+	from string
+	zone string
+	port int // stands for each member's port, since mod_jk's is AJP's; 0: as in the file
+}
+
+// importList writes a file's members as discovery's list. A balancer's name becomes the machine type.
+func importList(o importOptions, out io.Writer) error {
+	if o.port < 0 || o.port > 65535 {
+		return fmt.Errorf("import: port %d is out of range", o.port)
+	}
+	f, err := os.Open(o.from)
+	if err != nil {
+		return fmt.Errorf("import: %w", err)
+	}
+	defer f.Close()
+	members, err := workers.Parse(f)
+	if err != nil {
+		return fmt.Errorf("import: %s: %w", o.from, err)
+	}
+	list := discovery.List{Reset: true}
+	for _, m := range members {
+		if o.port > 0 {
+			host, _, err := net.SplitHostPort(m.Addr)
+			if err != nil {
+				return fmt.Errorf("import: member %s: %w", m.Name, err)
+			}
+			m.Addr = net.JoinHostPort(host, strconv.Itoa(o.port))
+		}
+		in := discovery.Instance{ID: m.Name, HostPort: m.Addr, Zone: o.zone, MachineType: m.Balancer,
+			Lifecycle: "ready", Weight: m.Weight}
+		if m.Draining {
+			in.Lifecycle = "draining"
+		}
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("import: member %s: %w", m.Name, err)
+		}
+		list.Instances = append(list.Instances, raw)
+	}
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	if err := e.Encode(list); err != nil {
+		return fmt.Errorf("import: %w", err)
+	}
+	return nil
+}
--- a/cmd/rampspread/main.go
+++ b/cmd/rampspread/main.go
@@ -37,6 +37,7 @@
 	case "serve", "check":
 		config := flags.String("config", os.Getenv("LB_CONFIG"), "the configuration `file`")
 		chatFile := flags.String("chat", "", "the chat front's `file`, such as deploy/chat.json; none: no chat front")
+		xdsAddr := flags.String("xds", "", "the `address` at which other proxies get the list by xDS; none: no xDS")
 		if err := parse(flags, args, out); err != nil {
 			return err
 		}
@@ -49,11 +50,20 @@
 			return err
 		}
 		if name == "serve" {
-			return serve(ctx, cfg, chatCfg, print, out)
+			return serve(ctx, cfg, chatCfg, *xdsAddr, print, out)
 		}
 		fmt.Fprintf(out, "%s: good: %d classes, %d kinds, listens on %s, chat %t\n", *config,
 			len(cfg.Settings.Classes), len(cfg.Settings.Kinds), cfg.Listen, chatCfg != nil)
 		return nil
+	case "import":
+		var o importOptions
+		flags.StringVar(&o.from, "from", "", "the Apache balancer or mod_jk worker `file`")
+		flags.StringVar(&o.zone, "zone", "", "the `zone` of all members")
+		flags.IntVar(&o.port, "port", 0, "the `port` of all members; 0: as in the file")
+		if err := parse(flags, args, out); err != nil {
+			return err
+		}
+		return importList(o, out)
 	case "version":
 		if err := parse(flags, args, out); err != nil {
 			return err
@@ -61,7 +71,7 @@
 		fmt.Fprintln(out, "rampspread", version)
 		return nil
 	}
-	return fmt.Errorf("unknown sub-command %q: there are serve, check and version", name)
+	return fmt.Errorf("unknown sub-command %q: there are serve, check, import and version", name)
 }
 
 // parse reads a sub-command's flags; no words may follow them.
--- a/cmd/rampspread/main_test.go
+++ b/cmd/rampspread/main_test.go
@@ -75,6 +75,11 @@
 		{"check -config " + good, "good: 2 classes"},
 		{"check -config " + good + " -chat " + chat, "chat true"},
 		{"check -h", "!help"},
+		{"import -zone wien -from " + file(t, "apache.conf", "BalancerMember balancer://prefill http://10.1.0.1:9000 status=+D\n"),
+			`"hostPort": "10.1.0.1:9000"`},
+		{"import -port 9100 -from " + file(t, "workers.properties", "worker.list=prefill\nworker.prefill.host=h\n"), `"h:9100"`},
+		{"import -port 70000", "!out of range"},
+		{"import", "!no such file"},
 		{"fly", "!unknown sub-command"},
 		{"version now", "!unexpected"},
 		{"serve -speed 3", "!not defined"},
@@ -124,14 +129,14 @@
 	}))
 	defer discovery.Close()
 	defer discovery.CloseClientConnections()
-	listen, chatListen := freeAddr(t), freeAddr(t)
+	listen, chatListen, xdsListen := freeAddr(t), freeAddr(t), freeAddr(t)
 	t.Setenv("LB_CONFIG", file(t, "config.json", configText(listen, discovery.Listener.Addr().String(),
 		strings.ReplaceAll(list, "\n", ""))))
 	chat := file(t, "chat.json", fmt.Sprintf(chatText, chatListen))
 	ctx, term := context.WithCancel(context.Background())
 	defer term()
 	print, out, ended := make(chan os.Signal), &output{}, make(chan error, 1)
-	go func() { ended <- run(ctx, []string{"serve", "-chat", chat}, print, out) }()
+	go func() { ended <- run(ctx, []string{"serve", "-chat", chat, "-xds", xdsListen}, print, out) }()
 	testkit.Eventually(t, "the program to be ready", func() bool {
 		resp, err := http.Get("http://" + listen + "/healthz")
 		if err != nil {
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -27,6 +27,7 @@
 	"rampspread/internal/discovery"
 	"rampspread/internal/servers"
 	"rampspread/internal/wire"
+	"rampspread/internal/xds"
 )
 
 const (
@@ -92,7 +93,8 @@
 }
 
 // serve is one dispatcher, from its start to its orderly end. Each value of print asks for the counters.
-func serve(ctx context.Context, cfg *wire.Config, chatCfg *chat.Config, print <-chan os.Signal, out io.Writer) error {
+func serve(ctx context.Context, cfg *wire.Config, chatCfg *chat.Config, xdsAddr string, print <-chan os.Signal,
+	out io.Writer) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	memory := int64(256 << 20)
 	if cfg.Limits.MemoryMB > 0 {
@@ -115,7 +117,26 @@
 	if p.core, err = core.New(router, seed, p.pool); err != nil {
 		return err
 	}
-	p.watch = discovery.New(cfg.Discovery, &cfg.Settings, p.core.Roster)
+	failed := make(chan error, 3)
+	publish := p.core.Roster
+	if xdsAddr != "" {
+		proxies := xds.New(&cfg.Settings)
+		listener, err := net.Listen("tcp", xdsAddr)
+		if err != nil {
+			return fmt.Errorf("xds: %w", err)
+		}
+		go func() {
+			if err := proxies.Serve(netutil.LimitListener(listener, sockets/32)); err != nil {
+				failed <- err
+			}
+		}()
+		defer proxies.Stop()
+		publish = func(full bool, entries []core.Listing) {
+			p.core.Roster(full, entries)
+			proxies.Publish(full, entries)
+		}
+	}
+	p.watch = discovery.New(cfg.Discovery, &cfg.Settings, publish)
 	p.front = clients.New(p.core, &cfg.Settings)
 	running, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -132,7 +153,6 @@
 	}
 	tasks.Go(func() { p.watch.Run(running) })
 
-	failed := make(chan error, 2)
 	if err := p.listen(cfg.Listen, p.front, sockets/2, failed); err != nil {
 		return err
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -36,7 +36,8 @@
 	Instances  []json.RawMessage `json:"instances"`
 }
 
-type instance struct {
+// Instance is one entry of a List.
+type Instance struct {
 	ID          string  `json:"instanceId"`
 	HostPort    string  `json:"hostPort"`
 	Zone        string  `json:"zone"`
@@ -84,7 +85,7 @@
 }
 
 func (w *Watcher) entry(raw json.RawMessage) (core.Listing, error) {
-	var in instance
+	var in Instance
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return core.Listing{}, fmt.Errorf("entry: %w", err)
 	}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -42,9 +42,11 @@
 
 // New returns a Pool that holds at most conns connections to any one replica.
 func New(settings *wire.Settings, conns int) *Pool {
-	dial := wire.FromMS(settings.Limits.ConnectTimeoutMs)
+	// The time for which a state is held runs on while connections fail to come up. Half the settings'
+	// figure leaves room for a second and a third writer before the state must be let go.
+	dial := wire.FromMS(settings.Limits.ConnectTimeoutMs) / 2
 	if dial <= 0 {
-		dial = 250 * time.Millisecond
+		dial = 125 * time.Millisecond
 	}
 	idle := wire.FromMS(settings.Limits.ConnIdleMs)
 	if idle <= 0 {
