--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -139,6 +139,7 @@
 		}
 		// What the read may have left is let go, and again once it must have shown.
 		<-h.releases
+		<-h.releases
 	}
 }
 
