--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	p := &program{pool: servers.New(&cfg.Settings, max(sockets/32, 4)), bodies: semaphore.NewWeighted(memory / 8)}
+	p := &program{pool: servers.New(&cfg.Settings, max(sockets/8, 4), max(sockets/5, 4)), bodies: semaphore.NewWeighted(memory / 8)}
 	if p.core, err = core.New(router, seed, p.pool); err != nil {
 		return err
 	}
@@ -153,7 +153,13 @@
 	}
 	tasks.Go(func() { p.watch.Run(running) })
 
-	if err := p.listen(cfg.Listen, p.front, sockets/2, failed); err != nil {
+	// Each client's connection can need one to a replica, so they get 3 in 8 of the sockets, idle ones to
+	// replicas 1 in 5, and the rest is for discovery and the process itself.
+	conns := sockets * 3 / 8
+	if chatCfg != nil {
+		conns -= sockets / 8 // for the chat front
+	}
+	if err := p.listen(cfg.Listen, p.front, conns, failed); err != nil {
 		return err
 	}
 	if chatCfg != nil {
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -76,6 +77,28 @@
 	}
 }
 
+// A client that takes nothing of its answer stalls no other.
+func TestSlowClientStallsNoOther(t *testing.T) {
+	fleet, _, url := serve(t, testkit.Read, testkit.Write(strings.Repeat("x", 16<<20)))
+	r := request(t, url, nil)
+	conn, err := net.Dial("tcp", r.URL.Host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := r.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, "the slow client's answer to start", func() bool { n, _ := fleet.Writer.Calls(); return n == 1 })
+	fleet.Writer.Follow(testkit.Write("a"))
+	for i := range 8 {
+		resp, body, err := do(t, request(t, url, func(r *http.Request) { r.Header.Set("X-Trace-Id", strconv.Itoa(i)) }))
+		if resp.StatusCode != 200 || body != testkit.Answer("a") || err != nil {
+			t.Errorf("request %d: status %d, %q, %v", i, resp.StatusCode, body, err)
+		}
+	}
+}
+
 func TestRefusedSaysWhen(t *testing.T) {
 	_, _, url := serve(t, testkit.Status(503, true), testkit.Read)
 	resp, _, _ := do(t, request(t, url, nil))
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -40,8 +40,9 @@
 	bad       atomic.Int64
 }
 
-// New returns a Pool that holds at most conns connections to any one replica.
-func New(settings *wire.Settings, conns int) *Pool {
+// New returns a Pool that holds at most conns connections to any one replica, and idle ones in all. A call
+// that had to wait for a connection would run late unseen, so conns is no bound for ordinary days.
+func New(settings *wire.Settings, conns, idleConns int) *Pool {
 	// The time for which a state is held runs on while connections fail to come up. Half the settings'
 	// figure leaves room for a second and a third writer before the state must be let go.
 	dial := wire.FromMS(settings.Limits.ConnectTimeoutMs) / 2
@@ -55,6 +56,7 @@
 	return &Pool{settings: settings, transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
 		DisableCompression:  true, // events pass on unchanged
+		MaxIdleConns:        idleConns,
 		MaxIdleConnsPerHost: conns,
 		MaxConnsPerHost:     conns,
 		// A replica's machine resets what is written to a connection idle for longer, and such a
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -41,7 +41,7 @@
 
 func send(t *testing.T, addr string) (core.Attempt, *events) {
 	t.Helper()
-	pool, ev := servers.New(testkit.Settings(t), 8), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8), newEvents()
 	t.Cleanup(pool.Close)
 	return pool.Send(call, core.Target{Name: "s", Addr: addr}, 5*time.Second, ev), ev
 }
@@ -119,7 +119,7 @@
 			}()
 		}
 	}()
-	pool, ev := servers.New(testkit.Settings(t), 8), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8), newEvents()
 	defer pool.Close()
 	for _, want := range []decide.Outcome{decide.ReadDone, decide.Reset} {
 		pool.Send(call, core.Target{Name: "s", Addr: l.Addr().String()}, time.Second, ev)
@@ -157,7 +157,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	pool, ev := servers.New(testkit.Settings(t), 8), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8), newEvents()
 	defer pool.Close()
 	big := call
 	big.Body = make([]byte, 64<<20)
@@ -205,6 +205,22 @@
 	}
 }
 
+// A replica that falls silent in midstream leaves its connection open: the stream is given up all the same.
+func TestSilentStream(t *testing.T) {
+	r := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		io.WriteString(w, "data: {}\n\n")
+		http.NewResponseController(w).Flush()
+		testkit.Silent(w, r, n)
+	})
+	_, ev := send(t, r.Addr)
+	s := <-ev.first
+	got, err := io.ReadAll(s)
+	s.Close()
+	if o := <-ev.ended; err == nil || string(got) != "data: {}\n\n" || o.Outcome != decide.Reset {
+		t.Errorf("read %q, %v, outcome %d", got, err, o.Outcome)
+	}
+}
+
 func TestStreamRejected(t *testing.T) {
 	gone := make(chan struct{})
 	r := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
@@ -212,7 +228,7 @@
 		<-r.Context().Done()
 		close(gone)
 	})
-	pool, ev := servers.New(testkit.Settings(t), 8), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8), newEvents()
 	defer pool.Close()
 	ev.reject = true
 	pool.Send(call, core.Target{Name: "s", Addr: r.Addr}, time.Second, ev)
@@ -230,7 +246,7 @@
 	}
 	dead.Close()
 	live := testkit.NewReplica(t, testkit.Read)
-	pool := servers.New(testkit.Settings(t), 8)
+	pool := servers.New(testkit.Settings(t), 8, 8)
 	defer pool.Close()
 	pool.Release(call, []core.Target{{Name: "dead", Addr: dead.Addr().String()}, {Name: "live", Addr: live.Addr}})
 	testkit.Eventually(t, "the release", func() bool { return live.Releases(call.ID) == 1 })
@@ -263,7 +279,7 @@
 				io.Copy(conn, strings.NewReader(text))
 			}
 		}()
-		pool, ev := servers.New(settings, 8), newEvents()
+		pool, ev := servers.New(settings, 8, 8), newEvents()
 		defer pool.Close()
 		pool.Send(call, core.Target{Name: "s", Addr: l.Addr().String()}, time.Second, ev)
 		select {
