Let idle and silent client connections give way to new ones

Cause: serve.go wrapped the front's listener in netutil.LimitListener. With 192 connections out, Accept stopped until one of them closed, and idle ones closed only after 60 s (clientIdle). Heads had 5 s (headWait), bodies another 5 s (bodyWait), and a request turned away by its head alone had no limit for its body at all, since net/http reads what is left of it before it answers (ReadTimeout was 0). Ruled out: the module (its log has few lost attempts), memory (22 of 80 MB), CPU (0.06 s in the worst second).

Change: the guard's listener always accepts; when its room is full, the oldest connection that has asked nothing for 300 ms gives way, else the one without an open request for longest, after 2 s. A head has 2 s, a request 2.5 s in all. Chunked bodies get 411 and long ones 413 before anything is read, and the connection ends: net/http drops a Content-Length that comes with Transfer-Encoding before a handler can see both.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -31,8 +31,6 @@
 )
 
 const (
-	headWait   = 5 * time.Second  // for a client to send a request's head
-	clientIdle = 60 * time.Second // between requests on a connection
 	// After SIGTERM new connections still come for up to 0.4 s, and requests on open ones for longer.
 	lameDuck    = 500 * time.Millisecond // until idle connections are closed
 	lastCall    = 400 * time.Millisecond // from then until the listener is
@@ -192,12 +190,12 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := &http.Server{ReadHeaderTimeout: headWait, IdleTimeout: clientIdle, MaxHeaderBytes: 16 << 10}
+	server := &http.Server{}
 	guard := clients.NewGuard(front, p.bodies, &p.draining)
 	guard.Attach(server)
 	p.guards, p.servers = append(p.guards, guard), append(p.servers, server)
 	go func() {
-		if err := server.Serve(netutil.LimitListener(listener, conns)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guard.Listen(listener, conns)); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	}()
@@ -229,9 +227,9 @@
 func (p *program) counters(ctx context.Context) string {
 	n := p.core.Counters(ctx)
 	bad, skipped := p.front.Bad(), p.pool.Bad()
-	shed := int64(0)
+	shed, closed := int64(0), int64(0)
 	for _, g := range p.guards {
-		bad, shed = bad+g.BadHeads(), shed+g.Shed()
+		bad, shed, closed = bad+g.Bad(), shed+g.Shed(), closed+g.Closed()
 	}
 	if p.chat != nil {
 		bad, skipped = bad+p.chat.Bad(), skipped+p.chat.Skipped()
@@ -242,6 +240,6 @@
 	}
 	slices.Sort(outcomes)
 	return fmt.Sprintf("event=counters taken=%d open=%d sent=%d released=%d served=%d broken=%d refused=%d failed=%d "+
-		"overdue=%d left=%d bad_requests=%d shed=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Sent, n.Released,
-		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, skipped, p.watch.Bad(), strings.Join(outcomes, ""))
+		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Sent, n.Released,
+		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), strings.Join(outcomes, ""))
 }
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -20,8 +20,7 @@
 )
 
 const (
-	maxBody  = 256 << 10
-	bodyWait = 5 * time.Second // for a client to send its body
+	maxBody = 256 << 10
 	// A client that takes nothing for so long has stalled; it holds a replica's stream.
 	writeWait = 10 * time.Second
 	// The answer leaves this long before the client gives up, so that it is there in time.
@@ -138,12 +137,14 @@
 	return req, 0, nil
 }
 
-// ReadBody reads a request's whole body within the limits; the status goes with the error.
+// ReadBody reads a request's whole body within the limits; the status goes with the error. The server's time
+// limit for a request's last byte ends with it, or it would end the connection while the answer is out.
+// After an error it stays, since what is left of the body is then read before the error is answered.
 func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyWait))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -6,75 +6,172 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
 
-// Guard stands before a front's handler on its http.Server. It counts heads that net/http turned away by
-// itself, bounds the bodies that are in memory at a time, and ends connections while the program drains.
+const (
+	headWait   = 2 * time.Second         // for a client to send a request's head,
+	bodyWait   = 2500 * time.Millisecond // and all of it: a broken one is owed an answer or a close within 3 s
+	clientIdle = 20 * time.Second        // between requests on a connection, while there is room
+	maxHead    = 16 << 10
+
+	// When room is needed, a connection that has asked nothing yet gives way after this long. Good clients
+	// connect in order to ask, so it is one of those that say nothing.
+	silentFor = 300 * time.Millisecond
+	// One that has asked before gives way after this long.
+	idleFor  = 2 * time.Second
+	roomWait = 5 * time.Millisecond // between looks for one to give way
+)
+
+// Guard stands before a front's handler on its http.Server. It makes room for new connections, counts what is
+// turned away before the handler, bounds the bodies that are in memory at a time, and ends connections
+// while the program drains.
 type Guard struct {
 	next     http.Handler
 	bodies   *semaphore.Weighted
 	draining *atomic.Bool
-	conns    sync.Map // net.Conn to *heads
-	badHeads atomic.Int64
+	bad      atomic.Int64
 	shed     atomic.Int64
+	closed   atomic.Int64
+
+	mu    sync.Mutex
+	conns map[net.Conn]*conn
 }
 
-// heads counts what came on a connection: requests begun, and those that reached the handler.
-type heads struct{ begun, handled atomic.Int64 }
+// conn is what the guard knows of a connection.
+type conn struct {
+	begun, handled int       // requests begun, and those that reached the handler
+	open           bool      // a request is open
+	since          time.Time // when it came to have none
+}
 
-type headsKey struct{}
+type connKey struct{}
 
 // NewGuard guards next. The fronts of a program share bodies, in bytes, and draining.
 func NewGuard(next http.Handler, bodies *semaphore.Weighted, draining *atomic.Bool) *Guard {
-	return &Guard{next: next, bodies: bodies, draining: draining}
+	return &Guard{next: next, bodies: bodies, draining: draining, conns: map[net.Conn]*conn{}}
 }
 
-// Attach sets the server's handler and its hooks.
+// Attach sets the server's handler, time limits and hooks.
 func (g *Guard) Attach(s *http.Server) {
 	s.Handler = g
+	s.ReadHeaderTimeout, s.ReadTimeout, s.IdleTimeout, s.MaxHeaderBytes = headWait, bodyWait, clientIdle, maxHead
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		h := &heads{}
-		g.conns.Store(c, h)
-		return context.WithValue(ctx, headsKey{}, h)
+		k := &conn{since: time.Now()}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.conns[c] = k
+		return context.WithValue(ctx, connKey{}, k)
 	}
-	s.ConnState = func(c net.Conn, state http.ConnState) {
-		v, ok := g.conns.Load(c)
-		if !ok {
-			return
+	s.ConnState = g.track
+}
+
+func (g *Guard) track(c net.Conn, state http.ConnState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k := g.conns[c]
+	if k == nil {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		k.open = true
+		k.begun++
+	case http.StateIdle:
+		k.open, k.since = false, time.Now()
+	case http.StateClosed, http.StateHijacked:
+		delete(g.conns, c)
+		if k.begun > k.handled {
+			g.bad.Add(1)
 		}
-		h := v.(*heads)
-		switch state {
-		case http.StateActive:
-			h.begun.Add(1)
-		case http.StateClosed, http.StateHijacked:
-			g.conns.Delete(c)
-			if h.begun.Load() > h.handled.Load() {
-				g.badHeads.Add(1)
-			}
+	}
+}
+
+// Listen bounds the connections that l hands out.
+func (g *Guard) Listen(l net.Listener, most int) net.Listener { return &listener{l, g, most} }
+
+// listener goes on accepting when its room is full. It guards against clients that connect and say nothing,
+// or ask once and stay: they would lock all others out.
+type listener struct {
+	net.Listener
+	guard *Guard
+	most  int
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err // http.Server tells errors apart by their type
+	}
+	for !l.guard.makeRoom(l.most) {
+		time.Sleep(roomWait)
+	}
+	return c, nil
+}
+
+// makeRoom tells whether one more connection has room, once the one that is best missed is closed: the
+// oldest that has asked nothing yet, else the one without an open request for longest.
+func (g *Guard) makeRoom(most int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.conns) < most {
+		return true
+	}
+	var silent, idle net.Conn
+	now := time.Now()
+	silentAt, idleAt := now.Add(-silentFor), now.Add(-idleFor)
+	for c, k := range g.conns {
+		switch {
+		case k.open:
+		case k.begun == 0 && k.since.Before(silentAt):
+			silent, silentAt = c, k.since
+		case k.begun > 0 && k.since.Before(idleAt):
+			idle, idleAt = c, k.since
 		}
 	}
+	victim := silent
+	if victim == nil {
+		victim = idle
+	}
+	if victim == nil {
+		return false
+	}
+	// Its goroutine tells of the close only later, so it is dropped from the count here.
+	delete(g.conns, victim)
+	victim.Close()
+	g.closed.Add(1)
+	return true
 }
 
-// BadHeads is how many heads were cut short or malformed.
-func (g *Guard) BadHeads() int64 { return g.badHeads.Load() }
+// Bad is how many requests had heads that were cut short or malformed, or bodies of no use.
+func (g *Guard) Bad() int64 { return g.bad.Load() }
 
 // Shed is how many requests were refused since too many bodies were in memory.
 func (g *Guard) Shed() int64 { return g.shed.Load() }
 
+// Closed is how many connections were closed to make room.
+func (g *Guard) Closed() int64 { return g.closed.Load() }
+
 // ServeHTTP implements http.Handler.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h, ok := r.Context().Value(headsKey{}).(*heads); ok {
-		h.handled.Add(1)
+	if k, ok := r.Context().Value(connKey{}).(*conn); ok {
+		g.mu.Lock()
+		k.handled++
+		g.mu.Unlock()
 	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close") // the last answer on its connection
 	}
-	weight := r.ContentLength
-	if weight < 0 || weight > maxBody {
-		weight = maxBody
+	if status := misframed(r); status != 0 {
+		g.bad.Add(1)
+		w.Header().Set("Connection", "close") // what follows is not read
+		http.Error(w, http.StatusText(status), status)
+		return
 	}
+	weight := r.ContentLength
 	if !g.bodies.TryAcquire(weight) {
 		g.shed.Add(1)
 		w.Header().Set("Retry-After", "1")
@@ -84,3 +181,16 @@
 	defer g.bodies.Release(weight)
 	g.next.ServeHTTP(w, r)
 }
+
+// misframed is the status for a request whose body is turned away unread, 0 for others. Chunked ones are:
+// net/http drops a Content-Length that came besides, so nobody could tell whether the body hides another
+// request. Good clients say how long their bodies are.
+func misframed(r *http.Request) int {
+	switch {
+	case r.ContentLength < 0:
+		return http.StatusLengthRequired
+	case r.ContentLength > maxBody:
+		return http.StatusRequestEntityTooLarge
+	}
+	return 0
+}
--- a/internal/clients/guard_test.go
+++ b/internal/clients/guard_test.go
@@ -1,13 +1,16 @@
 package clients_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 
@@ -15,10 +18,13 @@
 	"rampspread/internal/testkit"
 )
 
+const room = 4 // connections
+
 func guarded(t *testing.T, bytes int64, draining *atomic.Bool, next http.HandlerFunc) (*clients.Guard, *httptest.Server) {
 	g := clients.NewGuard(next, semaphore.NewWeighted(bytes), draining)
 	s := httptest.NewUnstartedServer(nil)
 	g.Attach(s.Config)
+	s.Listener = g.Listen(s.Listener, room)
 	s.Start()
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	return g, s
@@ -42,7 +48,7 @@
 		t.Fatal(err)
 	}
 	resp.Body.Close()
-	testkit.Eventually(t, "three counted heads", func() bool { return g.BadHeads() == 3 })
+	testkit.Eventually(t, "three counted heads", func() bool { return g.Bad() == 3 })
 }
 
 // Bodies in memory are bounded: what would go over is refused before it is read, with nothing run.
@@ -87,3 +93,77 @@
 		}
 	}
 }
+
+// Connections that say nothing, or ask once and stay, do not lock others out.
+func TestRoomIsMade(t *testing.T) {
+	g, s := guarded(t, 10, new(atomic.Bool), func(http.ResponseWriter, *http.Request) {})
+	for i := range 3 * room {
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if i%2 == 0 { // it asks once and stays
+			conn.SetDeadline(time.Now().Add(20 * time.Second))
+			io.WriteString(conn, "GET / HTTP/1.1\r\nHost: b\r\n\r\n")
+			if _, err := conn.Read(make([]byte, 1)); err != nil {
+				t.Fatalf("connection %d: %v", i, err)
+			}
+		}
+	}
+	if g.Closed() == 0 {
+		t.Error("none was closed")
+	}
+}
+
+// What a body hides is never read as a request: both framings, none that can be trusted, or too much.
+func TestMisframed(t *testing.T) {
+	hidden := "POST /hidden HTTP/1.1\r\nHost: b\r\nContent-Length: 2\r\n\r\n{}"
+	for head, want := range map[string]string{
+		"Content-Length: 63\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": "411",
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n":                       "411",
+		"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n":                 "501",
+		"Content-Length: 60000000\r\n\r\n":                                  "413",
+		"Content-Length: 99999999999999999999\r\n\r\n":                      "400",
+		"Content-Length: -2\r\n\r\n":                                        "400",
+		"Content-Length: 2\r\nContent-Length: 3\r\n\r\n":                    "400",
+	} {
+		g, s := guarded(t, 1<<20, new(atomic.Bool), func(_ http.ResponseWriter, r *http.Request) {
+			t.Errorf("%q: %s reached the handler", head, r.URL)
+		})
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\n"+head+hidden)
+		got, _ := io.ReadAll(conn)
+		conn.Close()
+		if !strings.HasPrefix(string(got), "HTTP/1.1 "+want) || strings.Count(string(got), "HTTP/1.1 ") != 1 {
+			t.Errorf("%q: answered %q", head, got)
+		}
+		testkit.Eventually(t, "the count", func() bool { return g.Bad() == 1 })
+	}
+}
+
+// A client that sends half a request, or half a head, is let go in time, also where the head alone is bad.
+func TestHalfARequest(t *testing.T) {
+	_, front, _ := serve(t, testkit.Read, testkit.Write("a"))
+	_, s := guarded(t, 1<<20, new(atomic.Bool), front.ServeHTTP)
+	texts := []string{"", "POST /v1/chat/comp", "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nContent-Length: 9\r\n\r\n{"}
+	var conns []net.Conn
+	for _, text := range texts {
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(20 * time.Second))
+		io.WriteString(conn, text)
+		conns = append(conns, conn)
+	}
+	for i, conn := range conns {
+		if _, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%q: still open", texts[i])
+		}
+	}
+}
