On SIGHUP follow discovery to the address that the file now names

Cause: main.go caught SIGTERM, SIGINT and SIGUSR1 only, so Go's default action ended the program on SIGHUP (128 + 1 = 129); nothing read the file again, and load() let LB_DISCOVERY stand above it. Ruled out: any fault of its own, since the logs end in midst of traffic with no error.

Change: SIGHUP is caught from the start to the very end, while draining too. The file is read and checked without the environment's words; one of no use is logged and changes nothing. The watch moves at once and takes the whole list at the new address; the old list and all open requests stay.

Checked by a test that starts the program as a process: a bad file, a move, and a move after SIGTERM, with a request of each front open all the while. Without the change the process ends at the first SIGHUP.

--- a/cmd/rampspread/main.go
+++ b/cmd/rampspread/main.go
@@ -17,16 +17,20 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	print := make(chan os.Signal, 1)
-	signal.Notify(print, syscall.SIGUSR1)
-	if err := run(ctx, os.Args[1:], print, os.Stdout); err != nil && !errors.Is(err, flag.ErrHelp) {
+	on := signals{print: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(on.print, syscall.SIGUSR1)
+	signal.Notify(on.reload, syscall.SIGHUP) // caught until the program ends: by default it would end it
+	if err := run(ctx, os.Args[1:], on, os.Stdout); err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "rampspread:", err)
 		os.Exit(1)
 	}
 }
 
+// signals are what a running program can be asked for.
+type signals struct{ print, reload chan os.Signal }
+
 // run carries out one sub-command; without one it serves.
-func run(ctx context.Context, args []string, print <-chan os.Signal, out io.Writer) error {
+func run(ctx context.Context, args []string, on signals, out io.Writer) error {
 	name := "serve"
 	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
 		name, args = args[0], args[1:]
@@ -50,7 +54,7 @@
 			return err
 		}
 		if name == "serve" {
-			return serve(ctx, cfg, chatCfg, *xdsAddr, print, out)
+			return serve(ctx, cfg, chatCfg, options{*config, *xdsAddr}, on, out)
 		}
 		fmt.Fprintf(out, "%s: good: %d classes, %d kinds, listens on %s, chat %t\n", *config,
 			len(cfg.Settings.Classes), len(cfg.Settings.Kinds), cfg.Listen, chatCfg != nil)
--- a/cmd/rampspread/main_test.go
+++ b/cmd/rampspread/main_test.go
@@ -9,9 +9,12 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"rampspread/internal/testkit"
@@ -92,7 +95,7 @@
 		{"check -config " + file(t, "class.json", strings.Replace(configText("a:1", "b:2", "{}"), "fragile", "x", 1)), "!unknown effect"},
 	} {
 		var out bytes.Buffer
-		err := run(context.Background(), strings.Fields(c.args), nil, &out)
+		err := run(context.Background(), strings.Fields(c.args), signals{}, &out)
 		if want, bad := strings.CutPrefix(c.want, "!"); bad {
 			if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
 				t.Errorf("%q: error %v, want %q", c.args, err, want)
@@ -103,40 +106,31 @@
 	}
 }
 
-// The whole program: it serves both fronts, prints its counters on request, and at the end of its life
-// answers what it has taken and what still comes.
-func TestServeAndDrain(t *testing.T) {
-	in, let := make(chan bool, 8), make(chan bool)
-	reader := testkit.NewReplica(t, testkit.Read)
-	writer := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
-		if n == 1 { // the second is held until the program drains
-			in <- true
-			<-let
-		}
-		testkit.Write("alpha")(w, r, n)
-	})
-	list := fmt.Sprintf(`{"generation":1,"reset":true,"instances":[
-		{"instanceId":"r","hostPort":%q,"zone":"wien","machineType":"prefill","lifecycle":"ready","weight":1},
-		{"instanceId":"w","hostPort":%q,"zone":"wien","machineType":"decode-a","lifecycle":"ready","weight":1}]}`,
-		reader.Addr, writer.Addr)
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+func listText(reader, writer string) string {
+	return fmt.Sprintf(`{"generation":1,"reset":true,"instances":[`+
+		`{"instanceId":"r","hostPort":%q,"zone":"wien","machineType":"prefill","lifecycle":"ready","weight":1},`+
+		`{"instanceId":"w","hostPort":%q,"zone":"wien","machineType":"decode-a","lifecycle":"ready","weight":1}]}`, reader, writer)
+}
+
+// newAgent starts a stand-in for discovery that tells one list, and counts its watches.
+func newAgent(t *testing.T, list string) (addr string, watches *atomic.Int64) {
+	watches = new(atomic.Int64)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("stream") != "" {
+			watches.Add(1)
 			http.NewResponseController(w).Flush()
 			<-r.Context().Done()
 			return
 		}
 		io.WriteString(w, list)
 	}))
-	defer discovery.Close()
-	defer discovery.CloseClientConnections()
-	listen, chatListen, xdsListen := freeAddr(t), freeAddr(t), freeAddr(t)
-	t.Setenv("LB_CONFIG", file(t, "config.json", configText(listen, discovery.Listener.Addr().String(),
-		strings.ReplaceAll(list, "\n", ""))))
-	chat := file(t, "chat.json", fmt.Sprintf(chatText, chatListen))
-	ctx, term := context.WithCancel(context.Background())
-	defer term()
-	print, out, ended := make(chan os.Signal), &output{}, make(chan error, 1)
-	go func() { ended <- run(ctx, []string{"serve", "-chat", chat, "-xds", xdsListen}, print, out) }()
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s.Listener.Addr().String(), watches
+}
+
+// ready waits until a program serves.
+func ready(t *testing.T, listen string) {
+	t.Helper()
 	testkit.Eventually(t, "the program to be ready", func() bool {
 		resp, err := http.Get("http://" + listen + "/healthz")
 		if err != nil {
@@ -145,24 +139,123 @@
 		resp.Body.Close()
 		return resp.StatusCode == 200
 	})
-	ask := func() (int, string) {
-		r, err := http.NewRequest(http.MethodPost, "http://"+listen+"/v1/chat/completions", strings.NewReader("{}"))
-		if err != nil {
-			t.Error(err)
-			return 0, ""
+}
+
+// post sends a request that either front can take.
+func post(t *testing.T, listen, id, body string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+listen+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return 0, ""
+	}
+	for name, v := range map[string]string{"X-Trace-Id": id, "X-Qos": "frage", "X-Expires-In": "60000m", "X-Props": "prompt_len=8"} {
+		r.Header.Set(name, v)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Error(err)
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+const chatBody = `{"model":"frage","messages":[{"role":"user","content":"hello"}]}`
+
+// TestMain lets a test start the program itself, as a process that takes signals.
+func TestMain(m *testing.M) {
+	if os.Getenv("RAMPSPREAD_TEST_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// SIGHUP moves discovery to where the file now says, whatever the environment said at the start, while open
+// requests of both fronts go on. A bad file changes nothing, and SIGHUP while draining ends nothing.
+func TestReload(t *testing.T) {
+	let := make(chan bool)
+	var held atomic.Int64
+	old := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		held.Add(1)
+		<-let
+		testkit.Write("old")(w, r, n)
+	})
+	reader, fresh := testkit.NewReplica(t, testkit.Read), testkit.NewReplica(t, testkit.Write("new"))
+	oldList := listText(reader.Addr, old.Addr)
+	first, _ := newAgent(t, oldList)
+	second, moved := newAgent(t, listText(reader.Addr, fresh.Addr))
+	third, movedAgain := newAgent(t, listText(reader.Addr, fresh.Addr))
+	listen, chatListen, out := freeAddr(t), freeAddr(t), &output{}
+	config := file(t, "config.json", configText(listen, first, oldList))
+	program := exec.Command(os.Args[0], "serve", "-chat", file(t, "chat.json", fmt.Sprintf(chatText, chatListen)))
+	program.Env = append(os.Environ(), "RAMPSPREAD_TEST_PROGRAM=1", "LB_CONFIG="+config, "LB_DISCOVERY="+first)
+	program.Stdout, program.Stderr = out, out
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer program.Process.Kill()
+	ready(t, listen)
+	answers := make(chan string, 2)
+	go func() { _, text := post(t, listen, "a1", `{}`); answers <- text }()
+	go func() { _, text := post(t, chatListen, "", chatBody); answers <- text }()
+	testkit.Eventually(t, "both requests to be out", func() bool { return held.Load() == 2 })
+	reload := func(text, event string, seen func() bool) {
+		t.Helper()
+		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
 		}
-		for name, v := range map[string]string{"X-Trace-Id": "a1", "X-Qos": "frage", "X-Expires-In": "60000m", "X-Props": "prompt_len=8"} {
-			r.Header.Set(name, v)
+		if err := program.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
 		}
-		resp, err := http.DefaultClient.Do(r)
-		if err != nil {
-			t.Error(err)
-			return 0, ""
+		testkit.Eventually(t, event, func() bool { return strings.Contains(out.String(), event) && seen() })
+	}
+	reload("{", "event=reload_failed", func() bool { return true })
+	reload(configText(listen, second, "{}"), "event=reloaded discovery="+second, func() bool { return moved.Load() == 1 })
+	if status, text := post(t, listen, "a2", `{}`); status != 200 || text != testkit.Answer("new") {
+		t.Errorf("after the move: status %d, %q", status, text)
+	}
+	if err := program.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	reload(configText(listen, third, "{}"), "event=reloaded discovery="+third, func() bool { return movedAgain.Load() == 1 })
+	close(let)
+	for range 2 {
+		if text := <-answers; !strings.Contains(text, "old") {
+			t.Errorf("a request that was open all the while: %q", text)
 		}
-		defer resp.Body.Close()
-		text, _ := io.ReadAll(resp.Body)
-		return resp.StatusCode, string(text)
 	}
+	if err := program.Wait(); err != nil {
+		t.Errorf("ended with %v: %s", err, out.String())
+	}
+}
+
+// The whole program: it serves both fronts, prints its counters on request, and at the end of its life
+// answers what it has taken and what still comes.
+func TestServeAndDrain(t *testing.T) {
+	in, let := make(chan bool, 8), make(chan bool)
+	reader := testkit.NewReplica(t, testkit.Read)
+	writer := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 { // the second is held until the program drains
+			in <- true
+			<-let
+		}
+		testkit.Write("alpha")(w, r, n)
+	})
+	list := listText(reader.Addr, writer.Addr)
+	discovery, _ := newAgent(t, list)
+	listen, chatListen, xdsListen := freeAddr(t), freeAddr(t), freeAddr(t)
+	t.Setenv("LB_CONFIG", file(t, "config.json", configText(listen, discovery, list)))
+	chat := file(t, "chat.json", fmt.Sprintf(chatText, chatListen))
+	ctx, term := context.WithCancel(context.Background())
+	defer term()
+	print, out, ended := make(chan os.Signal), &output{}, make(chan error, 1)
+	go func() {
+		ended <- run(ctx, []string{"serve", "-chat", chat, "-xds", xdsListen}, signals{print: print}, out)
+	}()
+	ready(t, listen)
+	ask := func() (int, string) { return post(t, listen, "a1", `{}`) }
 	if status, text := ask(); status != 200 || text != testkit.Answer("alpha") {
 		t.Fatalf("status %d, %q", status, text)
 	}
@@ -174,7 +267,7 @@
 	<-in
 	term()
 	resp, err := http.Post("http://"+chatListen+"/v1/chat/completions", "application/json",
-		strings.NewReader(`{"model":"frage","messages":[{"role":"user","content":"hello"}]}`))
+		strings.NewReader(chatBody))
 	if err != nil || resp.StatusCode != 200 {
 		t.Errorf("a request after the end began: %v, %v", resp, err)
 	} else {
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -37,8 +37,17 @@
 	shutdownFor = 20 * time.Second
 )
 
-// load reads the configuration; the environment's words stand above the file's.
+// load reads the configuration that the program starts with; the environment's words stand above the file's.
 func load(path string) (*wire.Config, error) {
+	return read(path, map[string]func(*wire.Config) *string{
+		"LB_NAME":      func(c *wire.Config) *string { return &c.Name },
+		"LB_LISTEN":    func(c *wire.Config) *string { return &c.Listen },
+		"LB_DISCOVERY": func(c *wire.Config) *string { return &c.Discovery },
+	})
+}
+
+// read reads and checks a configuration. The words that env names take the place of the file's.
+func read(path string, env map[string]func(*wire.Config) *string) (*wire.Config, error) {
 	if path == "" {
 		return nil, errors.New("no configuration: set LB_CONFIG or -config")
 	}
@@ -50,9 +59,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	for name, to := range map[string]*string{"LB_NAME": &cfg.Name, "LB_LISTEN": &cfg.Listen, "LB_DISCOVERY": &cfg.Discovery} {
+	for name, field := range env {
 		if v := os.Getenv(name); v != "" {
-			*to = v
+			*field(cfg) = v
 		}
 	}
 	if err := cfg.Validate(); err != nil {
@@ -90,9 +99,14 @@
 	servers  []*http.Server
 }
 
-// serve is one dispatcher, from its start to its orderly end. Each value of print asks for the counters.
-func serve(ctx context.Context, cfg *wire.Config, chatCfg *chat.Config, xdsAddr string, print <-chan os.Signal,
-	out io.Writer) error {
+// options are what the command line says of a dispatcher besides its files' content.
+type options struct {
+	config  string // path of the configuration, which a reload reads again
+	xdsAddr string
+}
+
+// serve is one dispatcher, from its start to its orderly end.
+func serve(ctx context.Context, cfg *wire.Config, chatCfg *chat.Config, o options, on signals, out io.Writer) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	memory := int64(256 << 20)
 	if cfg.Limits.MemoryMB > 0 {
@@ -117,9 +131,9 @@
 	}
 	failed := make(chan error, 3)
 	publish := p.core.Roster
-	if xdsAddr != "" {
+	if o.xdsAddr != "" {
 		proxies := xds.New(&cfg.Settings)
-		listener, err := net.Listen("tcp", xdsAddr)
+		listener, err := net.Listen("tcp", o.xdsAddr)
 		if err != nil {
 			return fmt.Errorf("xds: %w", err)
 		}
@@ -150,6 +164,16 @@
 		p.watch.Apply(known, true)
 	}
 	tasks.Go(func() { p.watch.Run(running) })
+	tasks.Go(func() { // to the very end: what is still open while the program drains goes by the list too
+		for {
+			select {
+			case <-on.reload:
+				p.reload(o.config)
+			case <-running.Done():
+				return
+			}
+		}
+	})
 
 	// Each client's connection can need one to a replica, so they get 3 in 8 of the sockets, idle ones to
 	// replicas 1 in 5, and the rest is for discovery and the process itself.
@@ -173,7 +197,7 @@
 		select {
 		case err := <-failed:
 			return fmt.Errorf("serve: %w", err)
-		case <-print:
+		case <-on.print:
 			fmt.Fprintln(out, p.counters(running))
 		case <-ctx.Done():
 			done = true
@@ -184,6 +208,19 @@
 	return err
 }
 
+// reload reads the configuration's file again and follows discovery where it now says; the environment told
+// only where discovery was at the start. All else in the file holds from the next start on. A file that is
+// of no use changes nothing.
+func (p *program) reload(path string) {
+	cfg, err := read(path, nil)
+	if err != nil {
+		log.Printf("event=reload_failed err=%q", err)
+		return
+	}
+	log.Printf("event=reloaded discovery=%s", cfg.Discovery)
+	p.watch.Move(cfg.Discovery)
+}
+
 // listen starts a front on its address, with room for so many connections.
 func (p *program) listen(addr string, front http.Handler, conns int, failed chan<- error) error {
 	listener, err := net.Listen("tcp", addr)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,22 +51,46 @@
 
 // Watcher follows discovery.
 type Watcher struct {
-	addr     string
 	settings *wire.Settings
 	apply    func(full bool, entries []core.Listing)
 	client   *http.Client
 	bad      atomic.Int64
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed by the next Move
 }
 
 // New returns a Watcher that hands every list to apply.
 func New(addr string, settings *wire.Settings, apply func(bool, []core.Listing)) *Watcher {
-	return &Watcher{addr: addr, settings: settings, apply: apply, client: &http.Client{
+	return &Watcher{addr: addr, moved: make(chan struct{}), settings: settings, apply: apply, client: &http.Client{
 		Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true,
 		},
 	}}
 }
 
+// Move goes on at another address at once: the whole list is taken there, and what was told so far holds
+// until then.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	w.addr = addr
+	close(w.moved)
+	w.moved = make(chan struct{})
+	w.client.CloseIdleConnections()
+}
+
+// place is where discovery is now, and a channel that is closed when it moves.
+func (w *Watcher) place() (addr string, moved <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.addr, w.moved
+}
+
 // Bad is how many lines and entries made no sense.
 func (w *Watcher) Bad() int64 { return w.bad.Load() }
 
@@ -114,23 +139,40 @@
 // Run follows discovery until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		generation, err := w.fetch(ctx)
-		if err == nil {
-			err = w.watch(ctx, generation)
-		}
+		addr, moved := w.place()
+		err := w.follow(ctx, addr, moved)
 		if ctx.Err() != nil {
 			return
 		}
-		log.Printf("event=discovery_lost err=%q", err)
+		log.Printf("event=discovery_lost addr=%s err=%q", addr, err)
 		select {
 		case <-time.After(retryAfter):
+		case <-moved:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// follow takes the list from one address and watches it, until that fails or discovery moves.
+func (w *Watcher) follow(ctx context.Context, addr string, moved <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-moved:
+			cancel()
 		case <-ctx.Done():
 		}
+	}()
+	generation, err := w.fetch(ctx, addr)
+	if err != nil {
+		return err
 	}
+	return w.watch(ctx, addr, generation)
 }
 
-func (w *Watcher) get(ctx context.Context, query string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+"/v1/servers"+query, nil)
+func (w *Watcher) get(ctx context.Context, addr, query string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/servers"+query, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
@@ -146,10 +188,10 @@
 }
 
 // fetch takes the whole list.
-func (w *Watcher) fetch(ctx context.Context) (uint64, error) {
+func (w *Watcher) fetch(ctx context.Context, addr string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchWait)
 	defer cancel()
-	resp, err := w.get(ctx, "")
+	resp, err := w.get(ctx, addr, "")
 	if err != nil {
 		return 0, err
 	}
@@ -165,12 +207,12 @@
 
 // watch applies changes until the watch ends, falls silent or brings what cannot be read. After the last
 // of these a change may be missing, so the caller takes the whole list again.
-func (w *Watcher) watch(ctx context.Context, generation uint64) error {
+func (w *Watcher) watch(ctx context.Context, addr string, generation uint64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silent := time.AfterFunc(quiet, cancel)
 	defer silent.Stop()
-	resp, err := w.get(ctx, "?stream=1&index="+strconv.FormatUint(generation, 10))
+	resp, err := w.get(ctx, addr, "?stream=1&index="+strconv.FormatUint(generation, 10))
 	if err != nil {
 		return err
 	}
