Pass on whole events only, and give up spoilt heads and streams in time

Cause: servers.stream offered whatever its first Read brought to the client, so noise counted as the first event and the client's deadline stopped; stream.Read passed on any bytes, and each of them reset the silence watch, so a chunk that goes on for ever was never given up; a head without end held its attempt until the attempt's own limit; io.EOF without the last event counted as whole. Ruled out: the front, which wrote what it got.

Change: a stream hands on whole, sound events, at most 64 KiB each; the watch counts whole events only; the first one is due 1 s after the head, and a head 1 s after its first byte, where 1xx heads do not count; the end must come after [DONE]. A thin net.Conn tells whether the Transport waits with nothing left over before a call takes a used connection; else it is closed and the same attempt, of which nothing was written, takes another. The core logs what is not served.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -333,6 +333,9 @@
 
 // reply gives the one final answer; the channel has room for it.
 func (c *Core) reply(q *request, a Answer) {
+	if a.Kind != Served {
+		log.Printf("event=unserved id=%s kind=%d left=%v attempts=%d", q.Call.ID, a.Kind, q.deadline-c.now(), len(q.attempts))
+	}
 	q.answer <- a
 	q.answer = nil
 }
--- /dev/null
+++ b/internal/servers/conn.go
@@ -0,0 +1,73 @@
+package servers
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// settleFor is how long a connection may take to be ready for its next request. What is read after an answer
+// is read by a goroutine of the Transport's, which runs at once unless the machine is busy.
+const settleFor = 20 * time.Millisecond
+
+var errStale = errors.New("bytes behind an answer's end")
+
+// conn guards against bytes that a replica sends behind an answer's end: they must never be read as the next
+// request's answer. The Transport drops a connection on which it sees such bytes while it is idle, but not
+// if a request takes the connection in that moment.
+type conn struct {
+	net.Conn
+	mu      sync.Mutex
+	waiting chan struct{} // closed while a Read is out, which is only when all that came has been used
+	fresh   bool          // a request has the connection and has written nothing yet
+}
+
+func newConn(c net.Conn) *conn { return &conn{Conn: c, waiting: make(chan struct{})} }
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	close(c.waiting)
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = make(chan struct{})
+	if n > 0 && c.fresh {
+		return 0, errStale
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.fresh = false
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// take tells whether nothing is left of the answer before, so that a request can have the connection; one
+// that cannot is closed.
+func (c *conn) take() bool {
+	c.mu.Lock()
+	waiting := c.waiting
+	c.mu.Unlock()
+	select {
+	case <-waiting:
+	case <-time.After(settleFor):
+		c.Close()
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.waiting:
+		c.fresh = true
+		return true
+	default: // the Read has ended since: something came, or the connection is closed
+		c.Close()
+		return false
+	}
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -27,10 +28,13 @@
 const (
 	roomsPath    = "/bootstrap/rooms/"
 	maxAnswer    = 64 << 10               // of an answer that is no stream
-	tailSize     = 2 << 10                // of a stream, kept for the usage and the load report
 	releaseTry   = 100 * time.Millisecond // for one replica to take a release
 	releaseTries = 5
-	silence      = 3500 * time.Millisecond // a stream with no event for so long is given up
+	// A head is one write of a replica's, with the first token: one that does not end for so long never will.
+	headWait   = time.Second
+	firstEvent = time.Second // from the head to the end of the first event
+	mostEarly  = 8           // 1xx heads before an answer
+	mostStale  = 3           // connections that are found to be of no use, before a call counts as failed
 )
 
 // Pool reaches all replicas over one Transport.
@@ -53,8 +57,15 @@
 	if idle <= 0 {
 		idle = 10 * time.Second
 	}
+	dialer := &net.Dialer{Timeout: dial}
 	return &Pool{settings: settings, transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err // the Transport says what it was doing
+			}
+			return newConn(c), nil
+		},
 		DisableCompression:  true, // events pass on unchanged
 		MaxIdleConns:        idleConns,
 		MaxIdleConnsPerHost: conns,
@@ -82,7 +93,10 @@
 	aborted bool
 }
 
-var errAborted = errors.New("attempt aborted")
+var (
+	errAborted = errors.New("attempt aborted")
+	errEarly   = errors.New("too many 1xx heads")
+)
 
 func (b *body) Read(p []byte) (int, error) {
 	b.mu.Lock()
@@ -104,13 +118,18 @@
 // attempt implements core.Attempt.
 type attempt struct {
 	pool   *Pool
-	body   body
+	id     string
+	ctx    context.Context
 	cancel context.CancelFunc
-	unsent atomic.Bool // writing failed before the last byte
+
+	mu   sync.Mutex
+	body *body // of the exchange that is out
 }
 
 // Abort implements core.Attempt.
 func (a *attempt) Abort() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.body.mu.Lock()
 	a.body.aborted = true
 	a.body.mu.Unlock()
@@ -120,64 +139,129 @@
 // Send implements core.Servers.
 func (p *Pool) Send(call core.Call, to core.Target, limit time.Duration, ev core.Events) core.Attempt {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &attempt{pool: p, cancel: cancel, body: body{rest: call.Body}}
-	go a.run(ctx, call, to, limit, ev)
+	a := &attempt{pool: p, id: call.ID, ctx: ctx, cancel: cancel, body: &body{rest: call.Body}}
+	go a.run(call, to, limit, ev)
 	return a
 }
 
-func (a *attempt) run(ctx context.Context, call core.Call, to core.Target, limit time.Duration, ev core.Events) {
-	written := make(chan struct{}, 1)
-	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
-		if info.Err != nil {
-			a.unsent.Store(true)
+func (a *attempt) run(call core.Call, to core.Target, limit time.Duration, ev core.Events) {
+	x := &exchange{attempt: a, body: a.body}
+	resp, err := x.roundTrip(call, to, limit)
+	for n := 0; err != nil && x.stale.Load() && n < mostStale; n++ {
+		// Not a byte was written, so it is the same attempt.
+		a.mu.Lock()
+		if a.ctx.Err() != nil {
+			a.mu.Unlock()
+			break
 		}
-		written <- struct{}{}
-	}}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call.Method, to.Addr, call.Target)
-	if err != nil {
-		log.Printf("event=bad_target server=%s err=%q", to.Name, err)
-		a.cancel()
-		ev.Ended(core.Outcome{Outcome: decide.ConnectFailed})
-		return
+		a.body = &body{rest: call.Body}
+		x = &exchange{attempt: a, body: a.body}
+		a.mu.Unlock()
+		resp, err = x.roundTrip(call, to, limit)
 	}
-	req.Body, req.ContentLength = &a.body, int64(len(call.Body))
-	req.Header.Set("X-Trace-Id", call.ID)
-	req.Header.Set("X-Expires-In", strconv.FormatInt(limit.Milliseconds(), 10)+"m")
-	if call.Type != "" {
-		req.Header.Set("Content-Type", call.Type)
-	}
-	resp, err := a.pool.transport.RoundTrip(req)
 	if err != nil {
 		a.cancel()
-		o := a.lost(written)
+		o := x.lost()
 		log.Printf("event=call_failed id=%s server=%s outcome=%d err=%q", call.ID, to.Name, o, err)
 		ev.Ended(core.Outcome{Outcome: o})
 		return
 	}
 	if resp.StatusCode == http.StatusOK {
+		x.stop()
 		a.stream(resp, ev)
 		return
 	}
-	defer a.cancel()
 	data, err := drain(resp.Body)
+	x.stop()
+	a.cancel()
 	ev.Ended(a.pool.outcome(resp, data, err))
 }
 
+// exchange is one use of a connection by an attempt.
+type exchange struct {
+	attempt *attempt
+	body    *body
+	written atomic.Bool // or writing failed
+	unsent  atomic.Bool // writing failed before the last byte
+	stale   atomic.Bool // the connection was of no use, and nothing was written to it
+
+	mu    sync.Mutex
+	early int         // 1xx heads
+	due   *time.Timer // runs from an answer's first byte
+	over  bool
+}
+
+// roundTrip sends a call and waits for the answer's head. A replica may begin a head and never end it, which
+// the Transport does not notice.
+func (x *exchange) roundTrip(call core.Call, to core.Target, limit time.Duration) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { x.stale.Store(!usable(info)) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			x.unsent.Store(info.Err != nil)
+			x.written.Store(true)
+		},
+		GotFirstResponseByte: func() {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			if !x.over {
+				x.due = time.AfterFunc(headWait, x.attempt.cancel)
+			}
+		},
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			if x.early++; x.early > mostEarly {
+				return errEarly
+			}
+			if x.due != nil {
+				x.due.Stop() // the answer's own head comes when the replica is ready for it
+			}
+			return nil
+		},
+	}
+	req, err := newRequest(httptrace.WithClientTrace(x.attempt.ctx, trace), call.Method, to.Addr, call.Target)
+	if err != nil {
+		return nil, err
+	}
+	req.Body, req.ContentLength = x.body, int64(len(call.Body))
+	req.Header.Set("X-Trace-Id", call.ID)
+	req.Header.Set("X-Expires-In", strconv.FormatInt(limit.Milliseconds(), 10)+"m")
+	if call.Type != "" {
+		req.Header.Set("Content-Type", call.Type)
+	}
+	resp, err := x.attempt.pool.transport.RoundTrip(req)
+	if err != nil {
+		x.stop()
+	}
+	return resp, err
+}
+
+// stop ends the wait for the rest of a head, or of a short answer.
+func (x *exchange) stop() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.over = true; x.due != nil {
+		x.due.Stop()
+	}
+}
+
+// usable tells whether a connection may take a request.
+func usable(info httptrace.GotConnInfo) bool {
+	c, ok := info.Conn.(*conn)
+	return !ok || !info.Reused || c.take()
+}
+
 // lost tells apart what never ran from what may have, by whether the last byte was written.
-func (a *attempt) lost(written chan struct{}) decide.Outcome {
-	select {
-	case <-written:
-		if !a.unsent.Load() {
-			return decide.Reset
-		}
-	default: // no connection came up, or the write was cut off
-		a.body.mu.Lock()
-		defer a.body.mu.Unlock()
-		if a.body.given {
-			return decide.Reset
-		}
+func (x *exchange) lost() decide.Outcome {
+	x.body.mu.Lock()
+	defer x.body.mu.Unlock()
+	switch {
+	case x.stale.Load(), x.written.Load() && x.unsent.Load():
+		return decide.ConnectFailed
+	case x.written.Load(), x.body.given:
+		return decide.Reset
 	}
-	return decide.ConnectFailed
+	return decide.ConnectFailed // no connection came up, or the write was cut off
 }
 
 func newRequest(ctx context.Context, method, addr, target string) (*http.Request, error) {
@@ -263,116 +347,6 @@
 	return p.settings.Load(report)
 }
 
-// stream waits for the first event and offers the stream to the client.
-func (a *attempt) stream(resp *http.Response, ev core.Events) {
-	s := &stream{attempt: a, body: resp.Body, ev: ev}
-	buf := make([]byte, 4<<10)
-	n, err := resp.Body.Read(buf)
-	for n == 0 && err == nil {
-		n, err = resp.Body.Read(buf)
-	}
-	if n == 0 {
-		resp.Body.Close()
-		a.cancel()
-		ev.Ended(core.Outcome{Outcome: decide.Reset}) // an end before the first event
-		return
-	}
-	s.head, s.err = buf[:n], err
-	s.watch = time.AfterFunc(silence, a.cancel)
-	if !ev.First(s) {
-		s.watch.Stop()
-		resp.Body.Close()
-		a.cancel()
-	}
-}
-
-// stream implements core.Stream over a replica's answer.
-type stream struct {
-	attempt *attempt
-	body    io.ReadCloser
-	ev      core.Events
-	head    []byte // read ahead
-	err     error  // that came with it
-	tail    []byte // the last of what was passed on
-	watch   *time.Timer
-	ended   bool
-}
-
-// Read implements io.Reader. The watch guards against replicas that fall silent in midstream: their
-// connections stay open, and the client could only wait.
-func (s *stream) Read(p []byte) (n int, err error) {
-	if len(s.head) > 0 {
-		n = copy(p, s.head)
-		s.head = s.head[n:]
-		if len(s.head) == 0 {
-			err = s.err
-		}
-	} else if s.err != nil {
-		return 0, s.err
-	} else {
-		s.watch.Reset(silence)
-		n, err = s.body.Read(p)
-		s.watch.Stop()
-		s.err = err
-	}
-	if s.tail = append(s.tail, p[:n]...); len(s.tail) > 2*tailSize {
-		s.tail = append(s.tail[:0], s.tail[len(s.tail)-tailSize:]...)
-	}
-	if err != nil {
-		s.end()
-	}
-	return n, err
-}
-
-// Close implements io.Closer. A stream that is closed before its end is cut off at the replica too.
-func (s *stream) Close() error {
-	s.watch.Stop()
-	s.end()
-	s.attempt.cancel()
-	return s.body.Close()
-}
-
-func (s *stream) end() {
-	if s.ended {
-		return
-	}
-	s.ended = true
-	o := core.Outcome{Outcome: decide.Reset}
-	if s.err == io.EOF {
-		o.Outcome = decide.Served
-		o.Kept, o.Load = s.attempt.pool.usage(s.tail)
-	}
-	s.ev.Ended(o)
-}
-
-// usage reads a stream's last lines: the prompt tokens found kept, and the load report in a comment.
-func (p *Pool) usage(tail []byte) (kept int, load *decide.Load) {
-	for line := range strings.Lines(string(tail)) {
-		line = strings.TrimSpace(line)
-		if text, ok := strings.CutPrefix(line, ": Endpoint-Load-Metrics:"); ok {
-			load = p.load(text)
-			continue
-		}
-		data, ok := strings.CutPrefix(line, "data: {")
-		if !ok || !strings.Contains(data, `"usage"`) {
-			continue
-		}
-		var event struct {
-			Usage struct {
-				Details struct {
-					Cached int `json:"cached_tokens"`
-				} `json:"prompt_tokens_details"`
-			} `json:"usage"`
-		}
-		if err := json.Unmarshal([]byte("{"+data), &event); err != nil {
-			p.bad.Add(1)
-			continue
-		}
-		kept = max(event.Usage.Details.Cached, 0)
-	}
-	return kept, load
-}
-
 // Release implements core.Servers. What is held must be let go in time, so a replica that does not answer
 // at once is left for the next.
 func (p *Pool) Release(call core.Call, through []core.Target) {
@@ -389,6 +363,7 @@
 func (p *Pool) release(id string, to core.Target) error {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTry)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { usable(info) }})
 	req, err := newRequest(ctx, http.MethodDelete, to.Addr, roomsPath+url.PathEscape(id))
 	if err != nil {
 		return err
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -61,6 +61,9 @@
 	return b.String()
 }
 
+// Whole is the part of an answer that is whole events.
+func Whole(text string) string { return text[:strings.LastIndex("\n\n"+text, "\n\n")] }
+
 // Write streams a whole answer.
 func Write(words ...string) Script { return Cut(-1, words...) }
 
