Only whole requests hold a client connection, and the id of an open request is turned away

Cause: the guard counted a connection as open from its head on (ConnState's StateActive), so half-sent bodies could not give way for 2.5 s and filled the room; silent ones gave way after 300 ms only. Also, guard.go took a body's promised length from the shared bound before a byte of it had come.

Change: a request counts once its body has come whole (clients.ReadBody); until then its connection gives way 100 ms after it was made, if room is needed. The bound on bodies counts bytes that came. A request with the id of an open one gets 409. Clients' connections get 11 in 24 of the sockets, idle ones to replicas 1 in 8.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	p := &program{pool: servers.New(&cfg.Settings, max(sockets/8, 4), max(sockets/5, 4)), bodies: semaphore.NewWeighted(memory / 8)}
+	p := &program{pool: servers.New(&cfg.Settings, max(sockets/8, 4), max(sockets/8, 4)), bodies: semaphore.NewWeighted(memory / 8)}
 	if p.core, err = core.New(router, seed, p.pool); err != nil {
 		return err
 	}
@@ -175,9 +175,10 @@
 		}
 	})
 
-	// Each client's connection can need one to a replica, so they get 3 in 8 of the sockets, idle ones to
-	// replicas 1 in 5, and the rest is for discovery and the process itself.
-	conns := sockets * 3 / 8
+	// Clients hold at most 1 in 3 of the sockets for requests, and each of those can need one to a replica.
+	// Connections without an open request get 1 in 8 more, idle ones to replicas as many, and the rest is
+	// for discovery, releases and the process itself.
+	conns := sockets * 11 / 24
 	if chatCfg != nil {
 		conns -= sockets / 8 // for the chat front
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,7 @@
 	core     *core.Core
 	settings *wire.Settings
 	bad      atomic.Int64
+	open     sync.Map // ids of open requests
 }
 
 // New returns a Front on the core.
@@ -53,6 +55,13 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	// Another client's open request may have this id: what is sent or released for one would be for both.
+	if _, taken := f.open.LoadOrStore(req.Call.ID, true); taken {
+		f.bad.Add(1)
+		http.Error(w, "X-Trace-Id belongs to an open request", http.StatusConflict)
+		return
+	}
+	defer f.open.Delete(req.Call.ID)
 	a := f.core.Do(r.Context(), req)
 	switch a.Kind {
 	case core.Served:
@@ -147,12 +156,17 @@
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errTooMuch):
+		w.Header().Set("Retry-After", "1")
+		return nil, http.StatusServiceUnavailable, err
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, err
 	case err != nil:
 		return nil, http.StatusBadRequest, fmt.Errorf("cut short: %w", err)
 	case len(body) == 0:
 		return nil, http.StatusBadRequest, errors.New("empty")
+	case !open(r):
+		return nil, http.StatusServiceUnavailable, errors.New("the connection gave way")
 	}
 	return body, 0, nil
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -116,6 +116,32 @@
 	}
 }
 
+// An id that another client's open request has is turned away, and free again after that.
+func TestIDOfAnOpenRequest(t *testing.T) {
+	in, let := make(chan bool, 8), make(chan bool, 8)
+	fleet, front, url := serve(t, testkit.Read, func(w http.ResponseWriter, r *http.Request, n int) {
+		in <- true
+		<-let
+		testkit.Write("a")(w, r, n)
+	})
+	first := make(chan int)
+	go func() {
+		resp, _, _ := do(t, request(t, url, nil))
+		first <- resp.StatusCode
+	}()
+	<-in
+	resp, _, _ := do(t, request(t, url, nil))
+	total, _ := fleet.Reader.Calls()
+	let <- true
+	let <- true
+	if got := <-first; got != 200 || resp.StatusCode != http.StatusConflict || total != 1 || front.Bad() != 1 {
+		t.Errorf("first %d, second %d, %d reads, %d bad", got, resp.StatusCode, total, front.Bad())
+	}
+	if resp, _, _ := do(t, request(t, url, nil)); resp.StatusCode != 200 {
+		t.Errorf("afterwards: status %d", resp.StatusCode)
+	}
+}
+
 func TestBadRequests(t *testing.T) {
 	fleet, front, url := serve(t, testkit.Read, testkit.Write("a"))
 	set := func(name, value string) func(*http.Request) {
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -17,9 +19,9 @@
 	clientIdle = 20 * time.Second        // between requests on a connection, while there is room
 	maxHead    = 16 << 10
 
-	// When room is needed, a connection that has asked nothing yet gives way after this long. Good clients
-	// connect in order to ask, so it is one of those that say nothing.
-	silentFor = 300 * time.Millisecond
+	// When room is needed, a connection whose first request has not come whole gives way after this long. Good
+	// clients connect in order to ask, so it is one of those that say nothing, or not all.
+	silentFor = 100 * time.Millisecond
 	// One that has asked before gives way after this long.
 	idleFor  = 2 * time.Second
 	roomWait = 5 * time.Millisecond // between looks for one to give way
@@ -42,13 +44,28 @@
 
 // conn is what the guard knows of a connection.
 type conn struct {
+	guard          *Guard
 	begun, handled int       // requests begun, and those that reached the handler
-	open           bool      // a request is open
-	since          time.Time // when it came to have none
+	asked          bool      // a whole request has come
+	open           bool      // one is out
+	closed         bool      // it gave way
+	since          time.Time // when it came to have none, or began to send its next
 }
 
 type connKey struct{}
 
+// open marks a request as whole: from now on its connection does not give way. It returns false if it has.
+func open(r *http.Request) bool {
+	k, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return true // no guard before this front
+	}
+	k.guard.mu.Lock()
+	defer k.guard.mu.Unlock()
+	k.asked, k.open = true, !k.closed
+	return k.open
+}
+
 // NewGuard guards next. The fronts of a program share bodies, in bytes, and draining.
 func NewGuard(next http.Handler, bodies *semaphore.Weighted, draining *atomic.Bool) *Guard {
 	return &Guard{next: next, bodies: bodies, draining: draining, conns: map[net.Conn]*conn{}}
@@ -59,7 +76,7 @@
 	s.Handler = g
 	s.ReadHeaderTimeout, s.ReadTimeout, s.IdleTimeout, s.MaxHeaderBytes = headWait, bodyWait, clientIdle, maxHead
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		k := &conn{since: time.Now()}
+		k := &conn{guard: g, since: time.Now()}
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.conns[c] = k
@@ -77,8 +94,10 @@
 	}
 	switch state {
 	case http.StateActive:
-		k.open = true
 		k.begun++
+		if k.asked {
+			k.since = time.Now()
+		}
 	case http.StateIdle:
 		k.open, k.since = false, time.Now()
 	case http.StateClosed, http.StateHijacked:
@@ -113,7 +132,7 @@
 }
 
 // makeRoom tells whether one more connection has room, once the one that is best missed is closed: the
-// oldest that has asked nothing yet, else the one without an open request for longest.
+// oldest whose first request has not come whole, else the one without an open request for longest.
 func (g *Guard) makeRoom(most int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -126,9 +145,9 @@
 	for c, k := range g.conns {
 		switch {
 		case k.open:
-		case k.begun == 0 && k.since.Before(silentAt):
+		case !k.asked && k.since.Before(silentAt):
 			silent, silentAt = c, k.since
-		case k.begun > 0 && k.since.Before(idleAt):
+		case k.asked && k.since.Before(idleAt):
 			idle, idleAt = c, k.since
 		}
 	}
@@ -140,6 +159,7 @@
 		return false
 	}
 	// Its goroutine tells of the close only later, so it is dropped from the count here.
+	g.conns[victim].closed = true
 	delete(g.conns, victim)
 	victim.Close()
 	g.closed.Add(1)
@@ -171,17 +191,33 @@
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
-	weight := r.ContentLength
-	if !g.bodies.TryAcquire(weight) {
-		g.shed.Add(1)
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, "refused: too much in hand", http.StatusServiceUnavailable)
-		return
-	}
-	defer g.bodies.Release(weight)
+	body := &metered{ReadCloser: r.Body, bodies: g.bodies, shed: &g.shed}
+	defer func() { g.bodies.Release(body.held) }()
+	r.Body = body
 	g.next.ServeHTTP(w, r)
 }
 
+var errTooMuch = errors.New("too much in hand")
+
+// metered bounds what has come of all bodies together. What a head only promises takes no one's room.
+type metered struct {
+	io.ReadCloser
+	bodies *semaphore.Weighted
+	held   int64
+	shed   *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (m *metered) Read(p []byte) (int, error) {
+	n, err := m.ReadCloser.Read(p)
+	if !m.bodies.TryAcquire(int64(n)) {
+		m.shed.Add(1)
+		return 0, errTooMuch
+	}
+	m.held += int64(n)
+	return n, err
+}
+
 // misframed is the status for a request whose body is turned away unread, 0 for others. Chunked ones are:
 // net/http drops a Content-Length that came besides, so nobody could tell whether the body hides another
 // request. Good clients say how long their bodies are.
--- a/internal/clients/guard_test.go
+++ b/internal/clients/guard_test.go
@@ -51,10 +51,24 @@
 	testkit.Eventually(t, "three counted heads", func() bool { return g.Bad() == 3 })
 }
 
-// Bodies in memory are bounded: what would go over is refused before it is read, with nothing run.
+// Bodies in memory are bounded: what goes over is refused, with nothing run. A body that is only promised
+// takes no room.
 func TestBodiesAreBounded(t *testing.T) {
 	in, let := make(chan bool), make(chan bool)
-	g, s := guarded(t, 10, new(atomic.Bool), func(http.ResponseWriter, *http.Request) { in <- true; <-let })
+	g, s := guarded(t, 10, new(atomic.Bool), func(w http.ResponseWriter, r *http.Request) {
+		if _, status, err := clients.ReadBody(w, r); err != nil {
+			w.WriteHeader(status)
+			return
+		}
+		in <- true
+		<-let
+	})
+	promise, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer promise.Close()
+	io.WriteString(promise, "POST / HTTP/1.1\r\nHost: b\r\nContent-Length: 9\r\n\r\n")
 	first := make(chan int)
 	go func() {
 		resp, err := http.Post(s.URL, "", strings.NewReader("12345678"))
@@ -94,25 +108,45 @@
 	}
 }
 
-// Connections that say nothing, or ask once and stay, do not lock others out.
+// Connections that say nothing, send half a request, or ask once and stay, do not lock others out, and none
+// of them costs an open request its connection.
 func TestRoomIsMade(t *testing.T) {
-	g, s := guarded(t, 10, new(atomic.Bool), func(http.ResponseWriter, *http.Request) {})
+	in, let := make(chan bool), make(chan bool)
+	g, s := guarded(t, 1<<20, new(atomic.Bool), func(w http.ResponseWriter, r *http.Request) {
+		if _, _, err := clients.ReadBody(w, r); err == nil && r.URL.Path == "/held" {
+			in <- true
+			<-let
+		}
+	})
+	held := make(chan error)
+	go func() {
+		resp, err := http.Post(s.URL+"/held", "", strings.NewReader("x"))
+		if err == nil {
+			resp.Body.Close()
+		}
+		held <- err
+	}()
+	<-in
 	for i := range 3 * room {
 		conn, err := net.Dial("tcp", s.Listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer conn.Close()
-		if i%2 == 0 { // it asks once and stays
+		switch i % 3 {
+		case 0:
+			io.WriteString(conn, "POST / HTTP/1.1\r\nHost: b\r\nContent-Length: 9\r\n\r\n1")
+		case 1: // it asks once and stays
 			conn.SetDeadline(time.Now().Add(20 * time.Second))
-			io.WriteString(conn, "GET / HTTP/1.1\r\nHost: b\r\n\r\n")
+			io.WriteString(conn, "POST / HTTP/1.1\r\nHost: b\r\nContent-Length: 1\r\n\r\n1")
 			if _, err := conn.Read(make([]byte, 1)); err != nil {
 				t.Fatalf("connection %d: %v", i, err)
 			}
 		}
 	}
-	if g.Closed() == 0 {
-		t.Error("none was closed")
+	let <- true
+	if err := <-held; err != nil || g.Closed() == 0 {
+		t.Errorf("the held request: %v; %d closed", err, g.Closed())
 	}
 }
 
