Forget servers that are gone, and stop an answered request's deadline timer

Change: the list is pruned after each change, with a second index by name so that numbers stay as they were; forget stops the timer. Looked at and left: the module's tables (swept after 2 minutes), the guard's connections (dropped on close), the Transport's (idle ones end after 10.5 s).

TestNothingGrows fails without either change.

--- a/cmd/rampspread/main_test.go
+++ b/cmd/rampspread/main_test.go
@@ -260,7 +260,7 @@
 		t.Fatalf("status %d, %q", status, text)
 	}
 	print <- os.Interrupt
-	testkit.Eventually(t, "the counters", func() bool { return strings.Contains(out.String(), "taken=1 open=0 sent=2") })
+	testkit.Eventually(t, "the counters", func() bool { return strings.Contains(out.String(), "taken=1 open=0 servers=2 sent=2") })
 
 	held := make(chan int)
 	go func() { status, _ := ask(); held <- status }()
@@ -280,7 +280,7 @@
 	if err := <-ended; err != nil {
 		t.Errorf("ended with %v", err)
 	}
-	if got := out.String(); !strings.Contains(got, "taken=3 open=0 sent=6") || !strings.Contains(got, "served=3") {
+	if got := out.String(); !strings.Contains(got, "taken=3 open=0 servers=2 sent=6") || !strings.Contains(got, "served=3") {
 		t.Errorf("counters at the end: %s", got)
 	}
 }
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -277,7 +277,7 @@
 		outcomes = append(outcomes, fmt.Sprintf(" outcome_%s=%d", name, count))
 	}
 	slices.Sort(outcomes)
-	return fmt.Sprintf("event=counters taken=%d open=%d sent=%d released=%d served=%d broken=%d refused=%d failed=%d "+
-		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Sent, n.Released,
+	return fmt.Sprintf("event=counters taken=%d open=%d servers=%d sent=%d released=%d served=%d broken=%d refused=%d failed=%d "+
+		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Released,
 		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), strings.Join(outcomes, ""))
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -132,6 +132,7 @@
 	lastID   decide.RequestID
 	requests map[decide.RequestID]*request
 	list     map[decide.ServerID]*listed
+	names    map[string]*listed // the same by name
 	actions  []decide.Action
 	pending  []decide.Event // events that follow from carrying out actions
 	stale    []*request     // to be looked at by forget once nothing is pending
@@ -151,6 +152,7 @@
 	streamed bool
 	loose    bool // an attempt was lost sight of: what it left may show only later
 	deadline time.Duration
+	timer    *time.Timer // runs to the deadline
 	attempts []*attempt
 }
 
@@ -180,6 +182,7 @@
 		router: router, servers: servers, start: now, base: time.Duration(now.UnixNano()),
 		queue: make(chan func(), queueSize), done: make(chan struct{}),
 		requests: map[decide.RequestID]*request{}, list: map[decide.ServerID]*listed{},
+		names: map[string]*listed{},
 	}, nil
 }
 
@@ -257,20 +260,32 @@
 		ev.Servers = append(ev.Servers, s)
 	}
 	c.handle(ev)
+	c.prune()
 }
 
 // lookup gives a name the same number at every dispatcher, since the module draws by it.
 func (c *Core) lookup(name string) *listed {
+	if l := c.names[name]; l != nil {
+		return l
+	}
 	h := fnv.New32a()
 	io.WriteString(h, name)
-	for id := decide.ServerID(h.Sum32()); ; id++ {
-		l := c.list[id]
-		if l == nil {
-			l = &listed{Target: Target{ID: id, Name: name}}
-			c.list[id] = l
-		}
-		if l.Name == name {
-			return l
+	id := decide.ServerID(h.Sum32())
+	for c.list[id] != nil {
+		id++
+	}
+	l := &listed{Target: Target{ID: id, Name: name}}
+	c.list[id], c.names[name] = l, l
+	return l
+}
+
+// prune forgets servers that are gone. Each replacement has a name of its own, so the list would grow for as
+// long as the program runs; attempts that are still out hold what they need.
+func (c *Core) prune() {
+	for id, l := range c.list {
+		if l.state == decide.Gone {
+			delete(c.list, id)
+			delete(c.names, l.Name)
 		}
 	}
 }
@@ -282,7 +297,7 @@
 	c.requests[q.id] = q
 	c.counters.Taken++
 	// The guard behind the module: whatever happens, the client is answered by its deadline.
-	time.AfterFunc(q.deadline-now, func() { c.post(func() { c.overdue(q) }) })
+	q.timer = time.AfterFunc(q.deadline-now, func() { c.post(func() { c.overdue(q) }) })
 	c.handle(decide.Arrival{
 		Request: q.id, Class: q.Class, Tenant: q.Tenant, Session: q.Session, Shared: q.Shared,
 		Prompt: q.Prompt, SharedTokens: q.SharedTokens, MaxOutput: q.MaxOutput, TimeLeft: q.deadline - now,
@@ -356,6 +371,7 @@
 		}
 	}
 	delete(c.requests, q.id)
+	q.timer.Stop() // it would keep the request and its body until a deadline that may be an hour away
 }
 
 // handle gives the module an event and carries out what it answers, with all that follows at once.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -199,3 +201,32 @@
 		t.Errorf("counters %+v", n)
 	}
 }
+
+// Nothing stays of servers that are gone, nor of answered requests, however far their deadlines are.
+func TestNothingGrows(t *testing.T) {
+	h, c := start(t)
+	for n := range 100 {
+		c.Roster(false, []core.Listing{{Name: fmt.Sprint("s", n), Kind: 1, State: decide.Ready, Weight: 1},
+			{Name: fmt.Sprint("s", n-1), State: decide.Gone}})
+	}
+	if n := c.Counters(context.Background()); n.Listed != 5 {
+		t.Errorf("%d servers listed, want 5", n.Listed)
+	}
+	gone := make(chan bool, 1)
+	func() {
+		body := make([]byte, 1<<20)
+		runtime.AddCleanup(&body[0], func(int) { gone <- true }, 0)
+		got := make(chan core.Answer)
+		req := core.Request{Call: core.Call{ID: "x", Body: body}, Prompt: 100, Deadline: time.Now().Add(time.Hour)}
+		go func() { got <- c.Do(context.Background(), req) }()
+		(<-h.sends).ev.Ended(core.Outcome{Outcome: decide.ReadDone})
+		w := <-h.sends
+		w.ev.First(noStream{})
+		<-got
+		w.ev.Ended(core.Outcome{Outcome: decide.Served})
+	}()
+	testkit.Eventually(t, "the request's body to be let go", func() bool {
+		runtime.GC()
+		return len(gone) == 1
+	})
+}
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -15,7 +15,7 @@
 	Taken, Sent, Released                          int
 	Served, Refused, Failed, Left, Overdue, Broken int
 	Outcomes                                       map[string]int
-	Open                                           int
+	Open, Listed                                   int
 }
 
 func outcomeName(o decide.Outcome) string {
@@ -37,7 +37,7 @@
 	got := make(chan Counters, 1)
 	c.post(func() {
 		n := c.counters
-		n.Outcomes, n.Open = maps.Clone(n.Outcomes), len(c.requests)
+		n.Outcomes, n.Open, n.Listed = maps.Clone(n.Outcomes), len(c.requests), len(c.list)
 		got <- n
 	})
 	select {
