A reader that answers is not left out when one attempt in its queue times out

A probe in the module: 5 readers ready and warm, 3 usable.

Cause: judge() counted every read that timed out as a failure for its class (hardWeight 0.5 against ejectAt 0.45), so one time-out left a reader out for up to 8 s. Logs show that the readers left out answered other reads all the while. Ruled out: a stale list (no failed connects), cold servers (none left), the writers (cellWait 0).

Change: a time-out of a read counts against its reader only if that has answered nothing since the read was sent.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -759,7 +759,9 @@
 		if was == reading {
 			r.learnRead(s, q, e) // it takes at least as long
 		}
-		if was == reading || was == writing {
+		// A reader that has answered since is alive and has a queue: to leave it out would push its part
+		// on to the rest, which then time out too. The estimate has learnt of the wait.
+		if was == writing || was == reading && s.heard < q.sentAt {
 			r.failure(s, q.Class, hardWeight, s.heard < q.sentAt)
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -669,3 +669,20 @@
 		}
 	}
 }
+
+// A reader that answers others is alive: a time-out behind its queue does not leave it out, one that hears
+// nothing at all does.
+func TestTimeoutBehindAQueue(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		b := newBench(t, nil)
+		s := b.r.byID[b.sent(b.arrive(1, 0))]
+		if answers {
+			b.do(400*ms, Timer{})
+			b.r.success(s, 0)
+		}
+		b.do(100*ms, Ended{Request: 1, Server: s.ID, Outcome: TimedOut, After: 500 * ms})
+		if b.r.usable(s, 0) != answers {
+			t.Errorf("answers %t: usable %t", answers, !answers)
+		}
+	}
+}
