--- a/internal/chat/chat_test.go
+++ b/internal/chat/chat_test.go
@@ -324,6 +324,35 @@
 	s.checkRuns(t)
 }
 
+// Spoilt streams leave their connections open: here too each request gets exactly one final answer, in time,
+// and no filing runs twice.
+func TestSpoiltStreams(t *testing.T) {
+	s := serve(t, testkit.Read, testkit.Read)
+	one := testkit.Whole(testkit.Answer("Parcel")[:100])
+	for name, spoilt := range map[string]string{
+		"noise":               "\x03\x80\x91\n\xffnoise\n\n",
+		"a head without end":  "HTTP/1.1 200 OK\r\nX-Pad: aaaa",
+		"noise for an event":  testkit.Chunks("\x03\x80\n\n"),
+		"a bad size":          testkit.Chunks(one) + "zz\r\n",
+		"a chunk without end": testkit.Chunks(one) + "b2d05e00\r\n" + strings.Repeat("x", 99),
+	} {
+		for _, stream := range []bool{true, false} {
+			s.Writer.Follow(testkit.Raw(spoilt))
+			for try, want := range []bool{false, true} { // a repeat is never run
+				start := time.Now()
+				resp, text, err := s.post(t, body("meldung", stream, name), "Idempotency-Key", fmt.Sprint(name, stream))
+				if got := finals(resp.StatusCode, stream, text); got != 1 || time.Since(start) > 12*time.Second {
+					t.Errorf("%s, try %d: %d final answers after %v in %q", name, try, got, time.Since(start), text)
+				}
+				if resp.StatusCode == 200 && err == nil || strings.Contains(text, "[DONE]") || (resp.StatusCode == 409) != want {
+					t.Errorf("%s, try %d: status %d, %q, %v", name, try, resp.StatusCode, text, err)
+				}
+			}
+		}
+	}
+	s.checkRuns(t)
+}
+
 // checkRuns counts executions per filing, by what was filed.
 func (s *service) checkRuns(t *testing.T) {
 	t.Helper()
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -245,18 +245,6 @@
 	return l.Addr().String(), calls
 }
 
-// chunks frames an answer, an event a chunk, without the last chunk.
-func chunks(text string) string {
-	var b strings.Builder
-	b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	for event := range strings.SplitAfterSeq(text, "\n\n") {
-		if event != "" {
-			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(event), event)
-		}
-	}
-	return b.String()
-}
-
 // A spoilt stream ends the attempt, though its connection stays open: before the first event nothing is
 // passed on, later whole events only.
 func TestSpoiltStreams(t *testing.T) {
@@ -268,21 +256,20 @@
 		"a head without end":    {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Pad: aaaa", ""},
 		"a large head":          {"HTTP/1.1 200 OK\r\nX-Pad: " + strings.Repeat("a", 64<<10), ""},
 		"1xx without end":       {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 99), ""},
-		"a head alone":          {chunks(""), ""},
-		"noise for an event":    {chunks("\x03\x80\n\n"), ""},
-		"half an event":         {chunks(one[:40]), ""},
-		"a bad size":            {chunks(one) + "zz\r\n" + one, one},
-		"a size too small":      {chunks(one) + "8\r\n" + one + "\r\n", one},
-		"a size too large":      {chunks(one) + fmt.Sprintf("%x\r\n%s\r\n", len(one)+9, one) + chunks(one), one + one},
-		"3 GB":                  {chunks(one) + "b2d05e00\r\n" + strings.Repeat("x", maxEvent+1), one},
-		"3 GB, slowly":          {chunks(one) + "b2d05e00\r\n" + strings.Repeat("x", 99), one},
-		"an early end":          {chunks(one) + "0\r\n\r\n", one},
+		"a head alone":          {testkit.Chunks(""), ""},
+		"noise for an event":    {testkit.Chunks("\x03\x80\n\n"), ""},
+		"half an event":         {testkit.Chunks(one[:40]), ""},
+		"a bad size":            {testkit.Chunks(one) + "zz\r\n" + one, one},
+		"a size too small":      {testkit.Chunks(one) + "8\r\n" + one + "\r\n", one},
+		"a size too large":      {testkit.Chunks(one) + fmt.Sprintf("%x\r\n%s\r\n", len(one)+9, one) + testkit.Chunks(one), one + one},
+		"3 GB":                  {testkit.Chunks(one) + "b2d05e00\r\n" + strings.Repeat("x", maxEvent+1), one},
+		"3 GB, slowly":          {testkit.Chunks(one) + "b2d05e00\r\n" + strings.Repeat("x", 99), one},
+		"an early end":          {testkit.Chunks(one) + "0\r\n\r\n", one},
 		"a short answer's half": {"HTTP/1.1 503 Busy\r\nContent-Length: 9\r\n\r\nb", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			addr, _ := raw(t, c.spoilt)
-			_, ev := send(t, addr)
+			_, ev := send(t, testkit.NewReplica(t, testkit.Raw(c.spoilt)).Addr)
 			want := decide.Reset
 			if strings.HasPrefix(name, "a short") {
 				want = decide.Errored
@@ -298,7 +285,7 @@
 func TestHarmless(t *testing.T) {
 	text := testkit.Answer("alpha") + ": Endpoint-Load-Metrics: TEXT util=lots,,\n\n"
 	addr, _ := raw(t, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+
-		strings.Replace(chunks(text), "\r\n", "\r\nEndpoint-Load-Metrics: \xff%%\r\n", 1)+"0\r\n\r\n")
+		strings.Replace(testkit.Chunks(text), "\r\n", "\r\nEndpoint-Load-Metrics: \xff%%\r\n", 1)+"0\r\n\r\n")
 	_, ev := send(t, addr)
 	s := <-ev.first
 	got, err := io.ReadAll(s)
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -101,6 +101,31 @@
 	}
 }
 
+// Raw answers with the text as it is, whatever that makes of HTTP, and leaves the connection open.
+func Raw(text string) Script {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, text)
+		io.Copy(io.Discard, conn) // until the caller goes away
+	}
+}
+
+// Chunks frames an answer, an event a chunk, without the last chunk.
+func Chunks(text string) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for event := range strings.SplitAfterSeq(text, "\n\n") {
+		if event != "" {
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(event), event)
+		}
+	}
+	return b.String()
+}
+
 // Silent answers nothing until the caller goes away.
 func Silent(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() }
 
