--- a/internal/chat/chat_test.go
+++ b/internal/chat/chat_test.go
@@ -340,7 +340,7 @@
 			s.Writer.Follow(testkit.Raw(spoilt))
 			for try, want := range []bool{false, true} { // a repeat is never run
 				start := time.Now()
-				resp, text, err := s.post(t, body("meldung", stream, name), "Idempotency-Key", fmt.Sprint(name, stream))
+				resp, text, err := s.post(t, body("meldung", stream, fmt.Sprint(name, stream)), "Idempotency-Key", fmt.Sprint(name, stream))
 				if got := finals(resp.StatusCode, stream, text); got != 1 || time.Since(start) > 12*time.Second {
 					t.Errorf("%s, try %d: %d final answers after %v in %q", name, try, got, time.Since(start), text)
 				}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -162,7 +162,8 @@
 	if err != nil {
 		a.cancel()
 		o := x.lost()
-		log.Printf("event=call_failed id=%s server=%s outcome=%d err=%q", call.ID, to.Name, o, err)
+		log.Printf("event=call_failed id=%s server=%s outcome=%d idle=%v err=%q", call.ID, to.Name, o,
+			time.Duration(x.idle.Load()), err)
 		ev.Ended(core.Outcome{Outcome: o})
 		return
 	}
@@ -181,9 +182,10 @@
 type exchange struct {
 	attempt *attempt
 	body    *body
-	written atomic.Bool // or writing failed
-	unsent  atomic.Bool // writing failed before the last byte
-	stale   atomic.Bool // the connection was of no use, and nothing was written to it
+	written atomic.Bool  // or writing failed
+	unsent  atomic.Bool  // writing failed before the last byte
+	stale   atomic.Bool  // the connection was of no use, and nothing was written to it
+	idle    atomic.Int64 // how long the connection had stood idle, in ns; -1 for a new one
 
 	mu    sync.Mutex
 	early int         // 1xx heads
@@ -195,7 +197,12 @@
 // the Transport does not notice.
 func (x *exchange) roundTrip(call core.Call, to core.Target, limit time.Duration) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { x.stale.Store(!usable(info)) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			x.stale.Store(!usable(info))
+			if x.idle.Store(-1); info.Reused {
+				x.idle.Store(int64(info.IdleTime))
+			}
+		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			x.unsent.Store(info.Err != nil)
 			x.written.Store(true)
