A call that a closed connection did not take goes over another; one break leaves no server out

The logs, with idle times: 45 calls failed in writing to a kept connection that its replica had closed (idle for 0.05 to 1 s, far under the 15 s of the settings), 95 more were reset after the write, and 104 requests were refused without an attempt.

Cause: an exchange that failed in writing to a used connection ended the attempt as a failed connect, and judge() counted each such break, and each reset, with hardWeight 0.5 against ejectAt 0.45: one of them left a server out for seconds while it answered all else. Ruled out: idle time (breaks come at any age, so closing ours sooner saves nothing), the clients' side (no request without a connection), memory and CPU (19 of 96 MB, 0.07 s).

Change: if a used connection fails before the call's last byte is written, the same attempt takes another connection, three times at most; a new connection that fails still ends it. A break at a server that answered within the last 0.5 s weighs 0.2, so the second of them limits it to trials.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,7 +61,10 @@
 	softWeight = 0.25 // weight of an error in the failure level
 	hardWeight = 0.5  // weight of a failed connect, reset or time-out
 	healWeight = 0.3  // weight of a success
-	healthFade = 10 * time.Second
+	// A broken connection counts this much at a server that has answered so lately; one alone leaves it in.
+	aliveWeight = 0.2
+	aliveFor    = 500 * ms
+	healthFade  = 10 * time.Second
 )
 
 // New returns a Router that knows no servers yet.
@@ -754,7 +757,12 @@
 	case Errored:
 		r.failure(s, q.Class, softWeight, true)
 	case ConnectFailed, Reset:
-		r.failure(s, q.Class, hardWeight, true)
+		// Connections break one by one too. A server that answers others meanwhile is not left out at once.
+		weight := hardWeight
+		if r.now-s.heard < aliveFor {
+			weight = aliveWeight
+		}
+		r.failure(s, q.Class, weight, true)
 	case TimedOut:
 		if was == reading {
 			r.learnRead(s, q, e) // it takes at least as long
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -145,17 +145,17 @@
 }
 
 func (a *attempt) run(call core.Call, to core.Target, limit time.Duration, ev core.Events) {
-	x := &exchange{attempt: a, body: a.body}
+	x := newExchange(a)
 	resp, err := x.roundTrip(call, to, limit)
-	for n := 0; err != nil && x.stale.Load() && n < mostStale; n++ {
-		// Not a byte was written, so it is the same attempt.
+	for n := 0; n < mostStale && err != nil && x.spent(); n++ {
+		// Its last byte was not written, so it is the same attempt, and the replica is not to blame.
 		a.mu.Lock()
 		if a.ctx.Err() != nil {
 			a.mu.Unlock()
 			break
 		}
 		a.body = &body{rest: call.Body}
-		x = &exchange{attempt: a, body: a.body}
+		x = newExchange(a)
 		a.mu.Unlock()
 		resp, err = x.roundTrip(call, to, limit)
 	}
@@ -193,6 +193,12 @@
 	over  bool
 }
 
+func newExchange(a *attempt) *exchange {
+	x := &exchange{attempt: a, body: a.body}
+	x.idle.Store(-1)
+	return x
+}
+
 // roundTrip sends a call and waits for the answer's head. A replica may begin a head and never end it, which
 // the Transport does not notice.
 func (x *exchange) roundTrip(call core.Call, to core.Target, limit time.Duration) (*http.Response, error) {
@@ -258,6 +264,10 @@
 	return !ok || !info.Reused || c.take()
 }
 
+// spent tells whether the call was to go over a used connection that turned out to be closed, before the last
+// byte was written.
+func (x *exchange) spent() bool { return x.idle.Load() >= 0 && x.lost() == decide.ConnectFailed }
+
 // lost tells apart what never ran from what may have, by whether the last byte was written.
 func (x *exchange) lost() decide.Outcome {
 	x.body.mu.Lock()
