A safe request whose answer broke after it began is read anew at once

Cause: after a reset afterWrite() tried another writer, though the state goes to the first writer when its answer begins. The second writer's 410 cost the attempt that the second read needed, so toReader gave up (sends + 2 > 4). Each such refusal came back as a new request and made the readers' queues longer.

Change: servers tells whether an answer had begun when it broke; then a request that may be repeated goes back to a reader while its attempts last. Filings are failed as before. A head that does not end is given up after 0.3 s instead of 1 s, since the wanted time is 1.2 s.

--- a/decide/api.go
+++ b/decide/api.go
@@ -185,7 +185,8 @@
 		Server  ServerID
 		Outcome Outcome
 		After   time.Duration
-		Kept    int // prompt tokens found kept
+		Kept    int  // prompt tokens found kept
+		Begun   bool // its answer had begun, so that a writer's attempt has used up the state
 		Final   bool
 		Load    *Load
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -686,3 +686,14 @@
 		}
 	}
 }
+
+// An answer that broke once it had begun has used up the state: a safe request is read anew at once, while
+// its attempts last, and a filing is not sent again.
+func TestBrokenAnswerReadsAgain(t *testing.T) {
+	b := newBench(t, nil)
+	_, w := b.reads(1, 0)
+	acts := b.do(20*ms, Ended{Request: 1, Attempt: 1, Server: w, Outcome: Reset, Begun: true})
+	if s := b.sent(acts); s > 2 || !has[Release](acts) {
+		t.Errorf("sent to %d: %+v", s, acts)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,6 +79,7 @@
 type Outcome struct {
 	Outcome decide.Outcome
 	Kept    int
+	Begun   bool // the answer had begun, and then it broke
 	Load    *decide.Load
 }
 
@@ -518,7 +519,7 @@
 	}
 	c.handle(decide.Ended{
 		Request: q.id, Attempt: a.number, Server: server, Outcome: o.Outcome, After: c.now() - a.sent,
-		Kept: o.Kept, Final: q.answer == nil, Load: o.Load,
+		Kept: o.Kept, Begun: o.Begun, Final: q.answer == nil, Load: o.Load,
 	})
 	c.forget(q)
 }
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -31,7 +31,7 @@
 	releaseTry   = 100 * time.Millisecond // for one replica to take a release
 	releaseTries = 5
 	// A head is one write of a replica's, with the first token: one that does not end for so long never will.
-	headWait   = time.Second
+	headWait   = 300 * time.Millisecond
 	firstEvent = time.Second // from the head to the end of the first event
 	mostEarly  = 8           // 1xx heads before an answer
 	mostStale  = 3           // connections that are found to be of no use, before a call counts as failed
@@ -164,7 +164,7 @@
 		o := x.lost()
 		log.Printf("event=call_failed id=%s server=%s outcome=%d idle=%v err=%q", call.ID, to.Name, o,
 			time.Duration(x.idle.Load()), err)
-		ev.Ended(core.Outcome{Outcome: o})
+		ev.Ended(core.Outcome{Outcome: o, Begun: x.begun.Load()})
 		return
 	}
 	if resp.StatusCode == http.StatusOK {
@@ -185,6 +185,7 @@
 	written atomic.Bool  // or writing failed
 	unsent  atomic.Bool  // writing failed before the last byte
 	stale   atomic.Bool  // the connection was of no use, and nothing was written to it
+	begun   atomic.Bool  // the answer itself has
 	idle    atomic.Int64 // how long the connection had stood idle, in ns; -1 for a new one
 
 	mu    sync.Mutex
@@ -214,6 +215,7 @@
 			x.written.Store(true)
 		},
 		GotFirstResponseByte: func() {
+			x.begun.Store(true)
 			x.mu.Lock()
 			defer x.mu.Unlock()
 			if !x.over {
@@ -224,8 +226,10 @@
 			x.mu.Lock()
 			defer x.mu.Unlock()
 			if x.early++; x.early > mostEarly {
+				x.begun.Store(true)
 				return errEarly
 			}
+			x.begun.Store(false)
 			if x.due != nil {
 				x.due.Stop() // the answer's own head comes when the replica is ready for it
 			}
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -211,7 +211,7 @@
 			t.Errorf("%q: read %q, %v", text, got, err)
 		}
 	}
-	if o := <-ev.ended; o.Outcome != want || len(ev.ended)+len(ev.first) > 0 {
+	if o := <-ev.ended; o.Outcome != want || o.Begun != (o.Outcome == decide.Reset && testkit.Whole(text) == "") || len(ev.ended)+len(ev.first) > 0 {
 		t.Errorf("%q: ended %+v, and %d more", text, o, len(ev.ended)+len(ev.first))
 	}
 }
--- a/internal/servers/stream.go
+++ b/internal/servers/stream.go
@@ -55,7 +55,7 @@
 		resp.Body.Close()
 		a.cancel()
 		log.Printf("event=no_first_event id=%s err=%q", a.id, s.err)
-		ev.Ended(core.Outcome{Outcome: decide.Reset}) // it may have run
+		ev.Ended(core.Outcome{Outcome: decide.Reset, Begun: true}) // it may have run
 		return
 	}
 	if !ev.First(s) {
