--- a/decide/decide.go
+++ b/decide/decide.go
@@ -825,7 +825,8 @@
 	if !e.Outcome.NeverRan() && !q.ran {
 		q.ran, q.ranAt, q.ranOn = true, q.sentAt, e.Server
 	}
-	if e.Outcome == NoState || e.Begun && q.sends+2 <= r.cfg.MaxAttempts && r.cfg.Classes[q.Class].Effect == Safe {
+	again := r.cfg.Classes[q.Class].Effect == Safe && q.sends+2 <= r.cfg.MaxAttempts
+	if e.Outcome == NoState || e.Begun && again {
 		// Read anew. The state may be gone, or only out of reach: it must not stay pinned meanwhile. Another
 		// writer could not find it, and the attempt would be missed for the second read.
 		r.emit(Release{q.Request})
