--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -697,3 +697,20 @@
 		t.Errorf("sent to %d: %+v", s, acts)
 	}
 }
+
+// One broken connection at a server that answers others leaves it in; a second one in a row does not.
+func TestOneBreakAtALivingServer(t *testing.T) {
+	b := newBench(t, nil)
+	_, w := b.reads(1, 0)
+	s := b.r.byID[w]
+	b.r.success(s, 0)
+	b.do(20*ms, Ended{Request: 1, Attempt: 1, Server: w, Outcome: Reset})
+	s.waits = []waiting{{id: 9}} // no trial is due
+	if !b.r.usable(s, 0) {
+		t.Error("left out after one break")
+	}
+	b.r.judge(s, &request{}, Ended{Outcome: Reset}, writing)
+	if b.r.usable(s, 0) {
+		t.Error("left in after two")
+	}
+}
