Follow discovery by index after jittered pauses that grow with the fleet

No dispatcher hears of a change for 45 s, so 5,752 sends go to addresses that refuse. Each is harmless alone; together they keep discovery full for good.

At fault: discovery.Run's fixed retryAfter, and follow, which always took the whole list before a watch though a version was held (the known list's at the start, the last line's later).

Now the watch goes on from the version held; the whole list is taken only with no list, after a line or entry that made no sense, or after a move. Pauses are drawn from a span of 50 ms for each dispatcher of the fleet, which doubles up to 400 ms each.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -148,7 +148,7 @@
 			proxies.Publish(full, entries)
 		}
 	}
-	p.watch = discovery.New(cfg.Discovery, &cfg.Settings, publish)
+	p.watch = discovery.New(cfg.Discovery, &cfg.Settings, seed, publish)
 	p.front = clients.New(p.core, &cfg.Settings)
 	running, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
--- /dev/null
+++ b/internal/discovery/backoff_test.go
@@ -0,0 +1,62 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+)
+
+// A discovery takes so many calls in a tenth of a second, and none in time once it is asked for far more. It loses
+// all dispatchers at once: they must all be back soon, without asking much more often than they need.
+func TestBackoffSpreadsTheFleet(t *testing.T) {
+	for _, fleet := range []int{4, 80, 400} {
+		const tick = 100 * time.Millisecond
+		due, pauses := make([]time.Duration, fleet), make([]*backoff, fleet)
+		for i := range pauses {
+			pauses[i] = newBackoff(uint64(i), fleet)
+			due[i] = pauses[i].next()
+		}
+		back, calls := 0, 0
+		for now := time.Duration(0); now < time.Duration(fleet)*250*time.Millisecond; now += tick {
+			var asking []int
+			for i, at := range due {
+				if at >= now && at < now+tick {
+					asking = append(asking, i)
+				}
+			}
+			calls += len(asking)
+			for n, i := range asking {
+				if n < 2 && len(asking) <= 8 {
+					due[i] = -1
+					back++
+				} else {
+					due[i] += pauses[i].next()
+				}
+			}
+		}
+		if back != fleet || calls > 4*fleet {
+			t.Errorf("fleet of %d: %d back after %d calls", fleet, back, calls)
+		}
+	}
+}
+
+func TestBackoffGrowsAndIsReset(t *testing.T) {
+	b := newBackoff(7, 4)
+	longest := time.Duration(0)
+	for range 200 {
+		p := b.next()
+		if p < 0 || p >= 4*eachMost {
+			t.Fatalf("pause %v", p)
+		}
+		longest = max(longest, p)
+	}
+	if longest < 3*eachMost {
+		t.Errorf("longest pause %v", longest)
+	}
+	b.reset()
+	for range 50 {
+		if p := b.next(); p >= 4*eachFirst {
+			t.Errorf("pause %v after a reset", p)
+		}
+		b.reset()
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -24,10 +25,9 @@
 )
 
 const (
-	maxLine    = 1 << 20                // of the watch, and the whole list
-	quiet      = 5 * time.Second        // without even an empty line, which come every 2 s: the watch is dead
-	retryAfter = 200 * time.Millisecond // between attempts at discovery
-	fetchWait  = 2 * time.Second
+	maxLine   = 1 << 20         // of the watch, and the whole list
+	quiet     = 5 * time.Second // without even an empty line, which come every 2 s: the watch is dead
+	fetchWait = 2 * time.Second
 )
 
 // List is discovery's form of the list or of changes to it.
@@ -54,6 +54,9 @@
 	settings *wire.Settings
 	apply    func(full bool, entries []core.Listing)
 	client   *http.Client
+	backoff  *backoff // only Run uses it
+	version  atomic.Uint64
+	stale    atomic.Bool // no list is held, or a change may be missing from it
 	bad      atomic.Int64
 
 	mu    sync.Mutex
@@ -61,13 +64,16 @@
 	moved chan struct{} // closed by the next Move
 }
 
-// New returns a Watcher that hands every list to apply.
-func New(addr string, settings *wire.Settings, apply func(bool, []core.Listing)) *Watcher {
-	return &Watcher{addr: addr, moved: make(chan struct{}), settings: settings, apply: apply, client: &http.Client{
-		Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true,
-		},
-	}}
+// New returns a Watcher that hands every list to apply. The seed draws the pauses between its attempts.
+func New(addr string, settings *wire.Settings, seed uint64, apply func(bool, []core.Listing)) *Watcher {
+	w := &Watcher{addr: addr, moved: make(chan struct{}), settings: settings, apply: apply, backoff: newBackoff(seed, settings.Balancers),
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true,
+			},
+		}}
+	w.stale.Store(true)
+	return w
 }
 
 // Move goes on at another address at once: the whole list is taken there, and what was told so far holds
@@ -94,7 +100,7 @@
 // Bad is how many lines and entries made no sense.
 func (w *Watcher) Bad() int64 { return w.bad.Load() }
 
-// Apply hands on a list, entry by entry: what makes no sense is counted and skipped.
+// Apply hands on a list, entry by entry: what makes no sense is counted and skipped. The watch goes on after it.
 func (w *Watcher) Apply(l List, full bool) {
 	out := make([]core.Listing, 0, len(l.Instances))
 	for _, raw := range l.Instances {
@@ -107,6 +113,8 @@
 		out = append(out, e)
 	}
 	w.apply(full, out)
+	w.version.Store(l.Generation)
+	w.stale.Store(len(out) < len(l.Instances) || !full && w.stale.Load())
 }
 
 func (w *Watcher) entry(raw json.RawMessage) (core.Listing, error) {
@@ -136,7 +144,9 @@
 	return e, nil
 }
 
-// Run follows discovery until the context ends.
+// Run follows discovery until the context ends. Many dispatchers lose it in the same moment and share what it
+// can do, so each pauses for a time of its own, longer with each failure. The first attempt is made at once: the list
+// that a dispatcher starts with may be old, and a server that is gone must get nothing more.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		addr, moved := w.place()
@@ -144,16 +154,27 @@
 		if ctx.Err() != nil {
 			return
 		}
-		log.Printf("event=discovery_lost addr=%s err=%q", addr, err)
-		select {
-		case <-time.After(retryAfter):
-		case <-moved:
-		case <-ctx.Done():
-		}
+		pause := w.backoff.next()
+		log.Printf("event=discovery_lost addr=%s pause=%v err=%q", addr, pause, err)
+		w.pause(ctx, moved, pause)
+	}
+}
+
+// pause waits for so long, or until discovery moves: another one may count versions otherwise.
+func (w *Watcher) pause(ctx context.Context, moved <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-moved:
+		w.stale.Store(true)
+		w.backoff.reset()
+	case <-ctx.Done():
 	}
 }
 
-// follow takes the list from one address and watches it, until that fails or discovery moves.
+// follow watches one address until that fails or discovery moves. The watch goes on from the version that is
+// held, since a whole list costs discovery work for each of its lines; it is taken only where none is held.
 func (w *Watcher) follow(ctx context.Context, addr string, moved <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -164,11 +185,18 @@
 		case <-ctx.Done():
 		}
 	}()
-	generation, err := w.fetch(ctx, addr)
-	if err != nil {
-		return err
+	if w.stale.Load() {
+		if err := w.fetch(ctx, addr); err != nil {
+			return err
+		}
 	}
-	return w.watch(ctx, addr, generation)
+	err := w.watch(ctx, addr)
+	select {
+	case <-moved:
+		w.stale.Store(true)
+	default:
+	}
+	return err
 }
 
 func (w *Watcher) get(ctx context.Context, addr, query string) (*http.Response, error) {
@@ -181,6 +209,7 @@
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
+		io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10)) // so that the connection serves again
 		resp.Body.Close()
 		return nil, fmt.Errorf("discovery: status %d", resp.StatusCode)
 	}
@@ -188,39 +217,41 @@
 }
 
 // fetch takes the whole list.
-func (w *Watcher) fetch(ctx context.Context, addr string) (uint64, error) {
+func (w *Watcher) fetch(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchWait)
 	defer cancel()
 	resp, err := w.get(ctx, addr, "")
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer resp.Body.Close()
 	var l List
 	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxLine)).Decode(&l); err != nil {
 		w.bad.Add(1)
-		return 0, fmt.Errorf("discovery: list: %w", err)
+		return fmt.Errorf("discovery: list: %w", err)
 	}
 	w.Apply(l, true)
-	return l.Generation, nil
+	return nil
 }
 
 // watch applies changes until the watch ends, falls silent or brings what cannot be read. After the last
-// of these a change may be missing, so the caller takes the whole list again.
-func (w *Watcher) watch(ctx context.Context, addr string, generation uint64) error {
+// of these a change may be missing, so the whole list is taken next.
+func (w *Watcher) watch(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silent := time.AfterFunc(quiet, cancel)
 	defer silent.Stop()
-	resp, err := w.get(ctx, addr, "?stream=1&index="+strconv.FormatUint(generation, 10))
+	resp, err := w.get(ctx, addr, "?stream=1&index="+strconv.FormatUint(w.version.Load(), 10))
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
+	log.Printf("event=watching addr=%s version=%d", addr, w.version.Load())
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxLine)
 	for lines.Scan() {
 		silent.Reset(quiet)
+		w.backoff.reset()
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
@@ -228,11 +259,15 @@
 		var l List
 		if err := json.Unmarshal(line, &l); err != nil {
 			w.bad.Add(1)
+			w.stale.Store(true)
 			return fmt.Errorf("discovery: watch: %w", err)
 		}
 		w.Apply(l, l.Reset)
 	}
 	if err := lines.Err(); err != nil {
+		if errors.Is(err, bufio.ErrTooLong) {
+			w.stale.Store(true)
+		}
 		return fmt.Errorf("discovery: watch: %w", err)
 	}
 	return errors.New("discovery: watch ended")
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -64,7 +65,7 @@
 	s := httptest.NewServer(a)
 	defer s.Close()
 	updates := make(chan update, 64)
-	w := discovery.New(s.Listener.Addr().String(), testkit.Settings(t), func(full bool, e []core.Listing) {
+	w := discovery.New(s.Listener.Addr().String(), testkit.Settings(t), 1, func(full bool, e []core.Listing) {
 		updates <- update{full, e}
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -77,8 +78,7 @@
 		state decide.ServerState
 	}{
 		{true, "s1 s2", decide.Ready}, {false, "s1", decide.Draining}, {false, "s1", decide.Gone},
-		{true, "s1 s2", decide.Ready}, // the watch ended
-		{true, "s1 s2", decide.Ready}, // the watch could not be read
+		{true, "s1 s2", decide.Ready}, // the second watch could not be read
 		{true, "s4", decide.Ready},
 	} {
 		u := <-updates
@@ -92,14 +92,44 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.queries[1] != "stream=1&index=41" || w.Bad() != 1 {
+	// The watch that ended goes on by index; only after the line that could not be read all is taken.
+	want := []string{"", "stream=1&index=41", "stream=1&index=43", "", "stream=1&index=41"}
+	if !slices.Equal(a.queries[:min(len(want), len(a.queries))], want) || w.Bad() != 1 {
 		t.Errorf("queries %q, %d bad", a.queries, w.Bad())
 	}
 }
 
+// A dispatcher that starts with a list watches on from its version: all of a fleet starting at once must not ask
+// discovery for the whole list.
+func TestWatchBeginsAfterTheKnownList(t *testing.T) {
+	a := &agent{watches: []string{list(42, false, entry("s1", "gone")) + "\n"}}
+	s := httptest.NewServer(a)
+	defer s.Close()
+	updates := make(chan update, 64)
+	w := discovery.New(s.Listener.Addr().String(), testkit.Settings(t), 1, func(full bool, e []core.Listing) {
+		updates <- update{full, e}
+	})
+	w.Apply(discovery.List{Generation: 41, Instances: []json.RawMessage{json.RawMessage(entry("s1", "ready"))}}, true)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	if u := <-updates; !u.full || u.entries[0].State != decide.Ready {
+		t.Errorf("first update %+v", u)
+	}
+	if u := <-updates; u.full || u.entries[0].State != decide.Gone {
+		t.Errorf("second update %+v", u)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.queries[0] != "stream=1&index=41" {
+		t.Errorf("queries %q", a.queries)
+	}
+}
+
 func TestBadEntriesAreSkipped(t *testing.T) {
 	var got []core.Listing
-	w := discovery.New("", testkit.Settings(t), func(_ bool, e []core.Listing) { got = e })
+	w := discovery.New("", testkit.Settings(t), 1, func(_ bool, e []core.Listing) { got = e })
 	var l discovery.List
 	good := entry("s1", "ready")
 	text := list(1, true, `7`, `{"instanceId":4}`, entry("s2", "asleep"), strings.Replace(good, "wien", "linz", 1),
@@ -124,7 +154,7 @@
 			return
 		}
 		n := 0
-		w := discovery.New("", settings, func(_ bool, e []core.Listing) { n = len(e) })
+		w := discovery.New("", settings, 1, func(_ bool, e []core.Listing) { n = len(e) })
 		w.Apply(l, false)
 		if n+int(w.Bad()) != len(l.Instances) {
 			t.Errorf("%d taken and %d bad of %d", n, w.Bad(), len(l.Instances))
