--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,7 +34,7 @@
 	priorWeight  = 2.0 // samples that the starting values, or a pool's value, count for
 
 	lagFade       = 3 * time.Second  // of the wait common to all readers,
-	lagPrior      = 1.0              // which leans on none by so many samples
+	lagPrior      = 0.3              // which leans on none by so many samples
 	waitFade      = 2 * time.Second  // of a writer's observed wait, so that it is tried again
 	shareFade     = 60 * time.Second // of the arrivals that tell how much asked for a text is
 	sharePrior    = 10.0             // arrivals that asked for something else
@@ -43,7 +43,10 @@
 	nearScatter   = 0.8              // or this part of what estimates are usually off by
 	minPull       = 0.7              // least weight of a reader by what its cell's writers bear
 	farHandicap   = 60.0             // ms that a reader in another zone must be better by
-	coldPart      = 0.45             // of what the rule lets a cold server take, at an even load
+	coldReads     = 0.45             // of what the rule lets a cold reader take, at an even load,
+	coldWrites    = 0.55             // and a cold writer
+	coldAhead     = 1.0              // sends to a cold reader that one router may be ahead of that
+	coldPull      = 1.5              // weight of a cold reader for each part of its warmth
 	nearFullShare = 0.90             // of reported memory: a writer adds wait past this
 	nearFullWait  = 150.0            // ms to the first token: a writer adds wait past this
 	fullFor       = 300 * ms         // a writer that turned us away has no room for this long
@@ -53,7 +56,7 @@
 	retryPause    = 30 * ms          // between looks for a server while a request is held
 	answerBefore  = 15 * ms          // a held request is answered this long before its deadline
 
-	readGrace  = 400 * ms // a read attempt may take this plus patience times its estimate
+	readGrace  = 900 * ms // a read attempt may take this plus patience times its estimate
 	patience   = 3.0
 	writeGrace = 800 * ms // the least time-out of a writer attempt that may be repeated
 
@@ -247,21 +250,17 @@
 }
 
 // coldTurn guards against cold servers being pushed over by all routers together: of the requests that
-// come to ask, a set part uses the cold server and no others do. Each router counts that part from a
-// start drawn from the seed, so the sum over any number of routers stays a set part of the server's even
-// share of all sends. flow is the part of all requests that come to ask. It could do harm when few but
-// cold servers are left.
-func (r *Router) coldTurn(s *server, q *request, flow float64) bool {
+// come to ask, a set part may use the cold server. Each router counts that part from a start drawn from the
+// seed, so the sum over any number of routers stays a set part of the server's even share of all sends; ahead
+// is how many it may use before their time, where something else bounds what all routers do at once. flow is
+// the part of all requests that come to ask. It could do harm when few but cold servers are left.
+func (r *Router) coldTurn(s *server, q *request, flow, part, ahead float64) bool {
 	if first := q.sends == 0 || q.sends == 1 && q.phase == read; !first || r.now != q.freeAt {
 		return false // further attempts and looks ask for no more than the first
 	}
-	even := coldPart * r.cfg.FallMultiple * r.warmth(s) / float64(max(r.most[s.role], 1))
+	even := part * r.cfg.FallMultiple * r.warmth(s) / float64(max(r.most[s.role], 1))
 	s.turn = min(s.turn+even/flow, 2)
-	if s.turn < 1 {
-		return false
-	}
-	s.turn--
-	return true
+	return s.turn+ahead >= 1
 }
 
 // ---- Health.
@@ -338,7 +337,7 @@
 // It could do harm where one text asks for more than its homes can read before its part is known.
 func (r *Router) homeRank(s *server, q *request, homes float64) float64 {
 	pull, _ := r.pull(s.cell)
-	weight := s.Weight * r.warmth(s) * pull
+	weight := s.Weight * min(coldPull*r.warmth(s), 1) * pull
 	if q.Shared != 0 {
 		if x := draw(q.Shared, s.ID) / weight * float64(r.most[Reader]) / homes; x > 1 {
 			return notHome + x
@@ -368,11 +367,9 @@
 	warmth := r.warmth(s)
 	common := max(r.fit.coef[0]-startBeta0, 0)
 	cost = r.fit.coef[0] + r.fit.coef[1]*missed - common
-	if warmth == 1 {
-		queue += common + r.lag.mean(r.now, 0, lagPrior)
-	}
+	queue += common + r.lag.mean(r.now, 0, lagPrior)
 	queue = max(queue+s.excess.mean(r.now, 0, priorWeight), 0) + r.overdue(s)
-	return queue / warmth, cost / warmth
+	return queue, cost / warmth
 }
 
 // writerWait is what a writer adds to the estimate: nothing unless it is near full by its report, by
@@ -529,15 +526,13 @@
 				continue
 			}
 			cold, tried := r.warmth(s) < 1, slices.Contains(q.tried, s.ID)
-			if cold && (!healthy || !r.coldTurn(s, q, 1)) {
-				continue // it is asked once
+			// The keys' ranks bound what all routers send there at once: it gets its homes' requests only.
+			if cold && !(healthy && r.coldTurn(s, q, 1, coldReads, coldAhead)) {
+				continue
 			}
 			c := choice{server: s, rank: r.homeRank(s, q, homes)}
 			c.queue, c.cost = r.readerEstimate(s, r.keptAt(s, q, c.rank < notHome), q)
 			c.queue += r.cellWait(s.cell)
-			if cold {
-				return c, true
-			}
 			c.order = c.queue + c.cost
 			if s.Zone != r.cfg.Zone {
 				c.order += farHandicap
@@ -561,6 +556,9 @@
 			}
 		}
 		if best.server != nil {
+			if r.warmth(best.server) < 1 {
+				best.turn--
+			}
 			return best, true
 		}
 	}
@@ -633,9 +631,10 @@
 			if s.cell.readers > 0 {
 				flow = s.cell.readers / r.every.readers
 			}
-			if s.cell.readers > 0 && (!near || spill) || !r.coldTurn(s, q, flow) {
+			if s.cell.readers > 0 && (!near || spill) || !r.coldTurn(s, q, flow, coldWrites, 0) {
 				continue
 			}
+			s.turn--
 			if usable {
 				return s
 			}
@@ -790,17 +789,21 @@
 	} else if q.promised > 200 {
 		r.trust.add(r.now, min(float64(kept)/float64(q.promised), 1))
 	}
-	if r.warmth(s) < 1 || s.health[0].now(r.now) >= ejectAt {
+	if s.health[0].now(r.now) >= ejectAt {
 		return
 	}
 	x, lag := [3]float64{1, float64(max(0, q.Prompt-kept)) / 1000, q.ahead}, r.lag.mean(r.now, 0, lagPrior)
-	y, expected := toMS(e.After), r.fit.predict(x)+lag
+	warmth := r.warmth(s)
+	y, expected := toMS(e.After), r.fit.predict(x)/warmth+lag
 	s.excess.add(r.now, y-expected)
 	if e.Outcome == Full {
 		y = min(y, 4*expected+100) // no measured time: it says less of the others
 	}
 	r.scatter.add(r.now, math.Abs(y-expected))
 	r.lag.add(r.now, y-expected+lag)
+	if warmth < 1 {
+		return // how fast it is by now is not known
+	}
 	r.fit.add(r.now, x, min(y-lag, 4*r.fit.predict(x)+100)) // outliers are clipped
 }
 
