Ask two readers for their load before a read, where a router hears little of them

Each of 80 routers sends 0.7 requests a second to 18 readers: it hears of one reader every 25 s, so the common wait that it guesses from the jammed ones shuts the idle ones too.

At fault: readerEstimate has nothing but own outcomes to go by, though the settings allow probes and replicas tell util and queue.

Now the module may ask (action Probe, event Probed, Config.MayProbe): while it has seen under one read of each reader within the fade, the two readers that the keys rank first are asked; the request waits for both answers, 40 ms at most, and takes the lower estimate of those that told; the queue told is the queue wait, as the design has it. A report serves for 250 ms. A reader that tells nothing counts as a failed connect. The ranks keep a request where its text is at every router alike. The core carries a probe out as GET /load.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -125,6 +125,7 @@
 	if err != nil {
 		return err
 	}
+	router.MayProbe = cfg.Settings.Limits.Probing
 	p := &program{pool: servers.New(&cfg.Settings, max(sockets/8, 4), max(sockets/8, 4)), bodies: semaphore.NewWeighted(memory / 8)}
 	if p.core, err = core.New(router, seed, p.pool); err != nil {
 		return err
@@ -277,7 +278,7 @@
 		outcomes = append(outcomes, fmt.Sprintf(" outcome_%s=%d", name, count))
 	}
 	slices.Sort(outcomes)
-	return fmt.Sprintf("event=counters taken=%d open=%d servers=%d sent=%d released=%d served=%d broken=%d refused=%d failed=%d "+
-		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Released,
+	return fmt.Sprintf("event=counters taken=%d open=%d servers=%d sent=%d probed=%d released=%d served=%d broken=%d refused=%d failed=%d "+
+		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Probed, n.Released,
 		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), strings.Join(outcomes, ""))
 }
--- a/cmd/simhost/host_test.go
+++ b/cmd/simhost/host_test.go
@@ -165,11 +165,11 @@
 		return s.Load(values)
 	}
 	l := load([]string{"inflight", "novel", "x0"}, []float32{3, 9, 0.5})
-	if *l != (decide.Load{Memory: 0.5, Waiting: -1}) {
+	if *l != (decide.Load{Memory: 0.5, Waiting: -1, Queue: -1, Busy: -1}) {
 		t.Errorf("load %+v", *l)
 	}
 	// A short report, one longer than its names, and none at all.
-	if l := load([]string{"x1", "x0"}, []float32{2}); *l != (decide.Load{Memory: -1, Waiting: 2}) {
+	if l := load([]string{"x1", "x0"}, []float32{2}); *l != (decide.Load{Memory: -1, Waiting: 2, Queue: -1, Busy: -1}) {
 		t.Errorf("short load %+v", *l)
 	}
 	if l := load([]string{"x0"}, []float32{0.1, 0.2, 0.3}); math.Abs(l.Memory-0.1) > 1e-6 || l.Waiting != -1 {
--- a/decide/api.go
+++ b/decide/api.go
@@ -75,6 +75,7 @@
 	ColdFrom      float64       // share of capacity a server starts with
 	ColdFor       time.Duration // warm no later than this
 	FallMultiple  float64       // a cold server falls past this multiple of its capacity
+	MayProbe      bool          // servers tell their load when asked
 	MayCancel     bool          // Cancel is allowed
 	LocalRead     bool          // writers may read prompts themselves
 }
@@ -147,6 +148,8 @@
 type Load struct {
 	Memory  float64 // share of memory held
 	Waiting float64 // thousands of prompt tokens waiting to be read or fetched
+	Queue   float64 // requests waiting
+	Busy    float64 // share of slots in use
 }
 
 // Event is something that happened to a Router.
@@ -190,6 +193,11 @@
 		Final   bool
 		Load    *Load
 	}
+	// Probed answers a Probe; Load is nil where none came in time or the server is not well.
+	Probed struct {
+		Server ServerID
+		Load   *Load
+	}
 	// ClientGone ends a request from outside.
 	ClientGone struct{ Request RequestID }
 	// Timer is due.
@@ -200,6 +208,7 @@
 func (Arrival) event()    {}
 func (Started) event()    {}
 func (Ended) event()      {}
+func (Probed) event()     {}
 func (ClientGone) event() {}
 func (Timer) event()      {}
 
@@ -214,6 +223,8 @@
 		Server  ServerID
 		Timeout time.Duration
 	}
+	// Probe asks a server for its load.
+	Probe struct{ Server ServerID }
 	// Release lets go of every state and place held for the request.
 	Release struct{ Request RequestID }
 	// Refuse is a final answer that promises that a retry is harmless.
@@ -236,6 +247,7 @@
 )
 
 func (Send) action()    {}
+func (Probe) action()   {}
 func (Release) action() {}
 func (Refuse) action()  {}
 func (Fail) action()    {}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,8 +43,7 @@
 	nearScatter   = 0.8              // or this part of what estimates are usually off by
 	minPull       = 0.7              // least weight of a reader by what its cell's writers bear
 	farHandicap   = 60.0             // ms that a reader in another zone must be better by
-	coldReads     = 0.45             // of what the rule lets a cold reader take, at an even load,
-	coldWrites    = 0.45             // and a cold writer
+	coldPart      = 0.45             // of what the rule lets a cold server take, at an even load
 	coldAhead     = 1.0              // sends to a cold reader that one router may be ahead of that
 	coldPull      = 1.5              // weight of a cold reader for each part of its warmth
 	nearFullShare = 0.90             // of reported memory: a writer adds wait past this
@@ -58,6 +57,12 @@
 
 	readGrace  = 900 * ms // a read attempt may take this plus patience times its estimate
 	patience   = 3.0
+	thin       = 1.0      // recent reads seen of each reader, under which a router asks for loads,
+	askOf      = 2        // of so many readers
+	askWait    = 40 * ms  // for the answers
+	loadFresh  = 250 * ms // a report is used for this long
+	busySlots  = 4.0      // requests in work that a busy reader's report stands for
+	startMiss  = 1.0      // thousands of tokens that a read misses, until reads have told
 	writeGrace = 800 * ms // the least time-out of a writer attempt that may be repeated
 
 	ejectAt    = 0.45 // failure level past which a server is ejected; half of it allows one attempt
@@ -81,7 +86,7 @@
 		requests: map[RequestID]*request{}, table: map[Key]*text{},
 		tenants: make([]tenant, len(cfg.TenantQuotas)),
 		lag:     evidence{fade: lagFade}, scatter: evidence{fade: fitFade}, trust: evidence{fade: fitFade},
-		arrivals: evidence{fade: shareFade},
+		arrivals: evidence{fade: shareFade}, missed: evidence{fade: fitFade},
 	}
 	r.fit = fit{
 		prior: [3]float64{startBeta0, startBeta1, startStep}, most: [3]float64{mostBeta0, 1000, 1000},
@@ -116,8 +121,13 @@
 		r.ended(e)
 	case ClientGone:
 		r.clientGone(e.Request)
+	case Probed:
+		r.probed(e)
 	case Timer:
 		if q := r.requests[RequestID(e.ID)]; q != nil && (q.phase == arrived || q.phase == read) {
+			if q.unheard > 0 { // what it asked for is missing
+				q.unheard, q.freeAt = 0, r.now
+			}
 			r.advance(q)
 		}
 	}
@@ -192,14 +202,6 @@
 	s.health = slices.Repeat([]level{{fade: healthFade}}, 1+len(r.cfg.Classes))
 }
 
-// entry returns the map's value for a key, made on first use.
-func entry[K comparable, V any](m map[K]*V, key K) *V {
-	if m[key] == nil {
-		m[key] = new(V)
-	}
-	return m[key]
-}
-
 // survey sums up the cells for a decision about a class, in two passes over the servers.
 func (r *Router) survey(class int) {
 	none := cell{wait: math.Inf(1)}
@@ -267,11 +269,11 @@
 // seed, so the sum over any number of routers stays a set part of the server's even share of all sends; ahead
 // is how many it may use before their time, where something else bounds what all routers do at once. flow is
 // the part of all requests that come to ask. It could do harm when few but cold servers are left.
-func (r *Router) coldTurn(s *server, q *request, flow, part, ahead float64) bool {
+func (r *Router) coldTurn(s *server, q *request, flow, ahead float64) bool {
 	if first := q.sends == 0 || q.sends == 1 && q.phase == read; !first || r.now != q.freeAt {
 		return false // further attempts and looks ask for no more than the first
 	}
-	even := part * r.cfg.FallMultiple * r.warmth(s) / float64(max(r.most[s.role], 1))
+	even := coldPart * r.cfg.FallMultiple * r.warmth(s) / float64(max(r.most[s.role], 1))
 	s.turn = min(s.turn+even/flow, 2-ahead)
 	return s.turn+ahead >= 1
 }
@@ -380,6 +382,10 @@
 	warmth := r.warmth(s)
 	common := max(r.fit.coef[0]-startBeta0, 0)
 	cost = r.fit.coef[0] + r.fit.coef[1]*missed - common
+	if r.cfg.MayProbe && r.now-s.loadAt <= loadFresh {
+		step := r.fit.coef[0] - common + r.fit.coef[1]*r.missed.mean(r.now, startMiss, priorWeight)
+		return s.load*step/warmth + r.overdue(s), cost / warmth
+	}
 	queue += common + r.lag.mean(r.now, 0, lagPrior)
 	queue = max(queue+s.excess.mean(r.now, 0, priorWeight), 0) + r.overdue(s)
 	return queue, cost / warmth
@@ -481,6 +487,9 @@
 		r.giveUp(q, 0)
 		return
 	}
+	if r.asks(q) {
+		return
+	}
 	c, ok := r.bestReader(q)
 	if !ok {
 		if r.cfg.LocalRead || r.most[Reader] == 0 && r.most[Mixed] > 0 {
@@ -526,6 +535,63 @@
 	return queue <= min(budget, most) && (cost > budget || queue+cost <= budget)
 }
 
+// asks asks the readers that the keys rank first for their load and reports whether the request waits. Ranks
+// keep it where its text is, at all routers alike; loads tell which of these few is jammed.
+func (r *Router) asks(q *request) bool {
+	if !r.cfg.MayProbe || q.options != nil || r.evidence() >= thin {
+		return false
+	}
+	r.survey(q.Class)
+	homes := r.homes(q)
+	r.choices = r.choices[:0]
+	for _, s := range r.servers {
+		if s.role == Reader && r.usable(s, q.Class) && (r.warmth(s) == 1 || s.turn+coldAhead >= 1) {
+			r.choices = append(r.choices, choice{server: s, rank: r.homeRank(s, q, homes)})
+		}
+	}
+	slices.SortFunc(r.choices, func(a, b choice) int { return cmp.Compare(a.rank, b.rank) })
+	for _, c := range r.choices[:min(askOf, len(r.choices))] {
+		q.options = append(q.options, c.ID)
+		if r.now-c.loadAt <= loadFresh {
+			continue
+		}
+		q.unheard++
+		if c.askers = append(c.askers, q.Request); len(c.askers) == 1 {
+			r.emit(Probe{c.ID})
+		}
+	}
+	if q.unheard > 0 {
+		r.emit(Wake{askWait, TimerID(q.Request)})
+	}
+	return q.unheard > 0
+}
+
+// probed takes a server's load, and goes on with the requests that waited for no other.
+func (r *Router) probed(e Probed) {
+	s := r.byID[e.Server]
+	if s == nil {
+		return
+	}
+	if e.Load == nil || e.Load.Queue < 0 {
+		s.health[0].move(r.now, 1, hardWeight)
+	} else {
+		s.load, s.loadAt, s.heard = e.Load.Queue+busySlots*max(e.Load.Busy, 0), r.now, r.now
+	}
+	askers := s.askers
+	s.askers = nil
+	for _, id := range askers {
+		if q := r.requests[id]; q != nil && q.unheard > 0 {
+			if q.unheard--; q.unheard == 0 {
+				q.freeAt = r.now
+				r.advance(q)
+			}
+		}
+	}
+}
+
+// evidence is how many recent reads this router has seen of each reader.
+func (r *Router) evidence() float64 { return r.scatter.count(r.now) / float64(max(r.most[Reader], 1)) }
+
 // bestReader returns the reader with the lowest estimate; near-equal ones go by rank. Bad health alone
 // never leaves a request without a reader.
 func (r *Router) bestReader(q *request) (choice, bool) {
@@ -534,13 +600,17 @@
 	for _, healthy := range []bool{true, false} {
 		low := math.Inf(1)
 		r.choices = r.choices[:0]
+		asked := healthy && q.options != nil && q.sends == 0
 		for _, s := range r.servers {
 			if s.role != Reader || s.State != Ready || healthy && !r.usable(s, q.Class) {
 				continue
 			}
+			if asked && (!slices.Contains(q.options, s.ID) || r.now-s.loadAt > loadFresh) {
+				continue
+			}
 			cold, tried := r.warmth(s) < 1, slices.Contains(q.tried, s.ID)
 			// The keys' ranks bound what all routers send there at once: it gets its homes' requests only.
-			if cold && !(healthy && r.coldTurn(s, q, 1, coldReads, coldAhead)) {
+			if cold && !(healthy && r.coldTurn(s, q, 1, coldAhead)) {
 				continue
 			}
 			c := choice{server: s, rank: r.homeRank(s, q, homes)}
@@ -559,8 +629,11 @@
 			low = min(low, c.order)
 			r.choices = append(r.choices, c)
 		}
-		each := r.scatter.count(r.now) / float64(max(r.most[Reader], 1)) // recent reads seen of each reader
-		off := nearScatter * r.scatter.mean(r.now, 0, priorWeight) * priorWeight / (priorWeight + each)
+		sure := 1 + r.evidence()/priorWeight
+		off := nearScatter * r.scatter.mean(r.now, 0, priorWeight) / sure
+		if asked {
+			off = 0 // what was told is no guess
+		}
 		near := low + max(nearEqual, off)
 		best := choice{rank: math.Inf(1)}
 		for _, c := range r.choices {
@@ -589,10 +662,6 @@
 	r.emit(Send{q.Request, s.ID, limit})
 }
 
-func (s *server) doneWaiting(id RequestID) {
-	s.waits = slices.DeleteFunc(s.waits, func(w waiting) bool { return w.id == id })
-}
-
 // ---- Writing.
 
 // toWriter sends a read request to the writer with most room in its reader's cell.
@@ -644,7 +713,7 @@
 			if s.cell.sends > 0 {
 				flow = s.cell.sends / r.every.sends
 			}
-			if s.cell.sends > 0 && (!near || spill) || !r.coldTurn(s, q, flow, coldWrites, 0) {
+			if s.cell.sends > 0 && (!near || spill) || !r.coldTurn(s, q, flow, 0) {
 				continue
 			}
 			s.turn--
@@ -809,6 +878,7 @@
 	warmth := r.warmth(s)
 	y, expected := toMS(e.After), r.fit.predict(x)/warmth+lag
 	s.excess.add(r.now, y-expected)
+	r.missed.add(r.now, x[1])
 	if e.Outcome == Full {
 		y = min(y, 4*expected+100) // no measured time: it says less of the others
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -725,3 +725,69 @@
 		t.Error("left in after two")
 	}
 }
+
+// A router that hears little of each reader asks the two that a request's keys rank first, and goes to the one with
+// the shorter queue; nothing is sent before both have told or the wait is over, and a dead one gets nothing.
+func TestAsksBeforeARead(t *testing.T) {
+	start := func() (*bench, []ServerID) {
+		b := newBench(t, func(c *Config) { c.MayProbe = true })
+		var asked []ServerID
+		for _, a := range b.arrive(1, 0) {
+			switch a := a.(type) {
+			case Probe:
+				asked = append(asked, a.Server)
+			case Wake:
+				if a.After != askWait || a.ID != 1 {
+					t.Errorf("wake %+v", a)
+				}
+			default:
+				t.Errorf("before any answer: %+v", a)
+			}
+		}
+		if len(asked) != askOf {
+			t.Fatalf("asked %v", asked)
+		}
+		return b, asked
+	}
+	for first := range askOf {
+		b, asked := start()
+		if acts := b.do(ms, Probed{asked[first], &Load{Queue: 0}}); len(acts) != 0 {
+			t.Errorf("after one answer: %+v", acts)
+		}
+		if s := b.sent(b.do(ms, Probed{asked[1-first], &Load{Queue: 20, Busy: 1}})); s != asked[first] {
+			t.Errorf("went to %d, not to %d, which has no queue", s, asked[first])
+		}
+		if s := b.sent(b.arrive(2, 0)); s != asked[first] {
+			t.Errorf("the next went to %d: a report may be used for a while", s)
+		}
+	}
+	b, asked := start()
+	b.do(ms, Probed{asked[0], nil})
+	if s := b.sent(b.do(askWait, Timer{1})); s == asked[0] {
+		t.Errorf("went to %d, which told nothing", s)
+	}
+	if acts := b.do(ms, Probed{asked[1], &Load{}}); len(acts) != 0 {
+		t.Errorf("a late answer: %+v", acts)
+	}
+	b, asked = start()
+	for _, id := range asked {
+		b.do(0, Probed{id, &Load{Queue: 500}})
+	}
+	if b.r.requests[1] != nil {
+		t.Error("passed, though both its readers have told of long queues")
+	}
+}
+
+// One that hears enough asks nobody, and neither does one whose settings forbid it.
+func TestAsksNobody(t *testing.T) {
+	b := newBench(t, nil)
+	b.sent(b.arrive(1, 0))
+	b = newBench(t, func(c *Config) { c.MayProbe = true })
+	for id := range RequestID(40) {
+		b.do(ms, Ended{Request: 99, Server: 1, Outcome: ReadDone, After: 10 * ms})
+		b.r.scatter.add(b.r.now, 1)
+		if id > 20 {
+			b.sent(b.arrive(100+id, 0))
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -35,6 +36,8 @@
 	ranAt             time.Duration
 	ranOn             ServerID
 	overQuota         bool
+	options           []ServerID // the readers whose load was asked for on its behalf
+	unheard           int        // of them, whose answer is still to come
 }
 
 // waiting is an attempt whose read or first token is still to come.
@@ -56,6 +59,9 @@
 	excess   evidence // readers: ms that reads took beyond the estimate common to all
 	wait     evidence // writers: ms to the first token
 	fullTill time.Duration
+	askers   []RequestID // requests that wait for its load, which was asked for
+	load     float64     // requests ahead of a new one, as told
+	loadAt   time.Duration
 	turn     float64 // while cold: the part of a request that is due to it
 	memory   float64 // reported share of memory, negative: none
 	backlog  float64 // reported thousands of tokens to read or fetch, negative: none
@@ -111,5 +117,19 @@
 	trust    evidence // tokens found for each promised
 	fetch    fit      // of writers' first tokens
 	arrivals evidence
+	missed   evidence // thousands of tokens a read
 	tenants  []tenant
 }
+
+// entry returns the map's value for a key, made on first use.
+func entry[K comparable, V any](m map[K]*V, key K) *V {
+	if m[key] == nil {
+		m[key] = new(V)
+	}
+	return m[key]
+}
+
+// doneWaiting forgets an attempt that has had its answer.
+func (s *server) doneWaiting(id RequestID) {
+	s.waits = slices.DeleteFunc(s.waits, func(w waiting) bool { return w.id == id })
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,6 +94,8 @@
 // Servers sends calls. None of its methods blocks.
 type Servers interface {
 	Send(call Call, to Target, limit time.Duration, ev Events) Attempt
+	// Probe asks a server for its load and calls back once, from any goroutine; nil: it told none in time.
+	Probe(to Target, limit time.Duration, told func(*decide.Load))
 	// Release lets go of what is held for the call's request, through the first of the targets that answers.
 	Release(call Call, through []Target)
 }
@@ -112,6 +114,7 @@
 
 const (
 	queueSize = 4096
+	probeWait = 200 * time.Millisecond // for a server's load; the module does not wait for so long
 	// A refused client is told when to come back even where the module has no estimate of it: one that is
 	// told nothing may be back at once.
 	comeBack = 200 * time.Millisecond
@@ -399,6 +402,8 @@
 	switch a := action.(type) {
 	case decide.Send:
 		c.send(a)
+	case decide.Probe:
+		c.probe(a.Server)
 	case decide.Release:
 		c.release(a.Request)
 	case decide.Refuse:
@@ -445,6 +450,19 @@
 	a.timer = time.AfterFunc(limit, func() { c.post(func() { c.abort(a, decide.TimedOut) }) })
 }
 
+func (c *Core) probe(id decide.ServerID) {
+	told := func(l *decide.Load) {
+		c.post(func() { c.handle(decide.Probed{Server: id, Load: l}) })
+	}
+	to := c.list[id]
+	if to == nil {
+		go told(nil)
+		return
+	}
+	c.counters.Probed++
+	c.servers.Probe(to.Target, probeWait, told)
+}
+
 // First implements Events.
 func (a *attempt) First(s Stream) bool {
 	won := make(chan bool, 1)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -40,6 +40,8 @@
 
 func (h *hand) Release(call core.Call, _ []core.Target) { h.releases <- call.ID }
 
+func (h *hand) Probe(_ core.Target, _ time.Duration, told func(*decide.Load)) { go told(nil) }
+
 type noStream struct{ io.ReadCloser }
 
 func start(t *testing.T) (*hand, *core.Core) {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -27,6 +27,7 @@
 
 const (
 	roomsPath    = "/bootstrap/rooms/"
+	loadPath     = "/load"
 	maxAnswer    = 64 << 10               // of an answer that is no stream
 	releaseTry   = 100 * time.Millisecond // for one replica to take a release
 	releaseTries = 5
@@ -368,6 +369,45 @@
 	return p.settings.Load(report)
 }
 
+// Probe implements core.Servers.
+func (p *Pool) Probe(to core.Target, limit time.Duration, told func(*decide.Load)) {
+	go func() {
+		l, err := p.probe(to, limit)
+		if err != nil {
+			log.Printf("event=probe_failed server=%s err=%q", to.Name, err)
+		}
+		told(l)
+	}()
+}
+
+func (p *Pool) probe(to core.Target, limit time.Duration) (*decide.Load, error) {
+	resp, data, err := p.short(http.MethodGet, to, loadPath, limit)
+	if err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("load: status %d", resp.StatusCode)
+	}
+	return p.load(string(data)), nil
+}
+
+// short makes a call without a body and reads its short answer.
+func (p *Pool) short(method string, to core.Target, path string, limit time.Duration) (*http.Response, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { usable(info) }})
+	req, err := newRequest(ctx, method, to.Addr, path)
+	if err != nil {
+		return nil, nil, err
+	}
+	resp, err := p.transport.RoundTrip(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	data, err := drain(resp.Body)
+	return resp, data, err
+}
+
 // Release implements core.Servers. What is held must be let go in time, so a replica that does not answer
 // at once is left for the next.
 func (p *Pool) Release(call core.Call, through []core.Target) {
@@ -382,18 +422,8 @@
 }
 
 func (p *Pool) release(id string, to core.Target) error {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTry)
-	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { usable(info) }})
-	req, err := newRequest(ctx, http.MethodDelete, to.Addr, roomsPath+url.PathEscape(id))
+	resp, _, err := p.short(http.MethodDelete, to, roomsPath+url.PathEscape(id), releaseTry)
 	if err != nil {
-		return err
-	}
-	resp, err := p.transport.RoundTrip(req)
-	if err != nil {
-		return fmt.Errorf("release through %s: %w", to.Name, err)
-	}
-	if _, err := drain(resp.Body); err != nil {
 		return fmt.Errorf("release through %s: %w", to.Name, err)
 	}
 	if resp.StatusCode/100 != 2 {
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -359,6 +361,51 @@
 	testkit.Eventually(t, "the release", func() bool { return live.Releases(call.ID) == 1 })
 }
 
+// A replica is asked for its load by the protocol's path; what cannot be read, an error and a silent or dead replica
+// all tell nothing, in time, and none of them is an answer about a queue of nought.
+func TestProbe(t *testing.T) {
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	pool := servers.New(testkit.Settings(t), 8, 8)
+	defer pool.Close()
+	for name, want := range map[string]*decide.Load{
+		"TEXT util=0.5, queue=3, x0=0.25": {Memory: 0.25, Waiting: -1, Queue: 3, Busy: 0.5},
+		"TEXT util=much":                  nil,
+		"":                                nil,
+		"silent":                          nil,
+		"dead":                            nil,
+	} {
+		replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method != http.MethodGet || r.URL.Path != "/load" {
+				t.Errorf("%s %s", r.Method, r.URL.Path)
+			}
+			if name == "silent" {
+				<-r.Context().Done()
+			}
+			if name == "" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			io.WriteString(w, name)
+		}))
+		to, limit := core.Target{Name: "s", Addr: replica.Listener.Addr().String()}, 5*time.Second
+		switch name {
+		case "dead":
+			to.Addr = dead.Addr().String()
+		case "silent":
+			limit = 50 * time.Millisecond
+		}
+		told := make(chan *decide.Load, 1)
+		pool.Probe(to, limit, func(l *decide.Load) { told <- l })
+		if got := <-told; !reflect.DeepEqual(got, want) {
+			t.Errorf("%q told %+v, want %+v", name, got, want)
+		}
+		replica.Close()
+	}
+}
+
 // FuzzAnswer feeds a replica's bytes to the client side: whatever comes, there is one end and no panic.
 func FuzzAnswer(f *testing.F) {
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -35,6 +35,7 @@
 		ConnectTimeoutMs float64
 		MaxRetryAfterMs  float64
 		MostHeld         int
+		Probing          bool
 		MostTries        int
 		RetryAfter       bool
 	}
@@ -109,7 +110,7 @@
 	if len(values) == 0 {
 		return nil
 	}
-	l := &decide.Load{Memory: -1, Waiting: -1}
+	l := &decide.Load{Memory: -1, Waiting: -1, Queue: -1, Busy: -1}
 	for i, v := range values {
 		if i >= len(s.Telemetry.Fields) {
 			break
@@ -117,6 +118,10 @@
 		switch s.Telemetry.Fields[i] {
 		case "x0":
 			l.Memory = float64(v)
+		case "queue":
+			l.Queue = float64(v)
+		case "util":
+			l.Busy = float64(v)
 		case "x1":
 			l.Waiting = float64(v)
 		}
