Ask two writers of the reader's cell for their load before a state goes on

Of the late answers 122 of 236 lost their time at a writer. Each router sends such a writer a request every 5 s, and its memory of a wait fades in 2 s, so none of the 80 learns that the cell is full.

At fault: bestWriter's idea of room in the cell rests on own streams and own waits. Ruled out: the readers' weights by what their cells' writers bear (pull): cell 1 has 0.84 and the counts show the reads even enough.

Now two writers of the reader's cell, drawn at random, are asked as the readers are; their memory is the room, and one with requests waiting counts as full for 300 ms, so that the design's other cell comes in. A report of memory counts while it is fresh. A look after an answer is a first look too (lookAt), but the time that a held state may wait still runs from freeAt.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -126,7 +126,7 @@
 	case Timer:
 		if q := r.requests[RequestID(e.ID)]; q != nil && (q.phase == arrived || q.phase == read) {
 			if q.unheard > 0 { // what it asked for is missing
-				q.unheard, q.freeAt = 0, r.now
+				q.unheard, q.lookAt = 0, r.now
 			}
 			r.advance(q)
 		}
@@ -136,8 +136,6 @@
 	return out
 }
 
-func (r *Router) emit(a Action) { r.out = append(r.out, a) }
-
 // ---- The roster.
 
 func (r *Router) roster(e Roster) {
@@ -270,7 +268,7 @@
 // is how many it may use before their time, where something else bounds what all routers do at once. flow is
 // the part of all requests that come to ask. It could do harm when few but cold servers are left.
 func (r *Router) coldTurn(s *server, q *request, flow, ahead float64) bool {
-	if first := q.sends == 0 || q.sends == 1 && q.phase == read; !first || r.now != q.freeAt {
+	if first := q.sends == 0 || q.sends == 1 && q.phase == read; !first || r.now != q.lookAt {
 		return false // further attempts and looks ask for no more than the first
 	}
 	even := coldPart * r.cfg.FallMultiple * r.warmth(s) / float64(max(r.most[s.role], 1))
@@ -325,15 +323,6 @@
 	return int(most * r.trust.mean(r.now, 1, priorWeight))
 }
 
-// note takes a text as kept from the moment it is sent, so that a flood of one text goes where it is
-// being read.
-func (r *Router) note(key Key, id ServerID, tokens int) {
-	if key != 0 {
-		t := entry(r.table, key)
-		t.reader, t.tokens, t.at = id, tokens, r.now
-	}
-}
-
 // homes is how many readers should keep the request's shared beginning, by its part of what arrives,
 // in steps that routers with somewhat different counts still agree on.
 func (r *Router) homes(q *request) float64 {
@@ -398,7 +387,7 @@
 	if len(s.waits) > 0 {
 		w = max(w, toMS(r.now-s.waits[0].at), r.fetch.predict([3]float64{1, 0, float64(len(s.waits))}))
 	}
-	if r.now < s.fullTill || w > nearFullWait || s.memory > nearFullShare {
+	if r.now < s.fullTill || w > nearFullWait || s.memory > nearFullShare && r.told(s) {
 		return max(w, toMS(s.fullTill-r.now))
 	}
 	return 0
@@ -424,7 +413,7 @@
 		return
 	}
 	c := r.cfg.Classes[e.Class]
-	q := &request{Arrival: e, at: r.now, deadline: r.now + e.TimeLeft, freeAt: r.now}
+	q := &request{Arrival: e, at: r.now, deadline: r.now + e.TimeLeft, freeAt: r.now, lookAt: r.now}
 	q.aim = c.Aim + time.Duration(float64(c.AimPer1K)*float64(e.Prompt)/1000)
 	q.overQuota = r.overQuota(e.Tenant)
 	r.requests[e.Request] = q
@@ -535,18 +524,24 @@
 	return queue <= min(budget, most) && (cost > budget || queue+cost <= budget)
 }
 
-// asks asks the readers that the keys rank first for their load and reports whether the request waits. Ranks
-// keep it where its text is, at all routers alike; loads tell which of these few is jammed.
+// asks asks the readers that the keys rank first, or two writers of the reader's cell, for their load and
+// reports whether the request waits. Ranks keep it where its text is, at all routers alike; loads tell which
+// of these few is jammed.
 func (r *Router) asks(q *request) bool {
 	if !r.cfg.MayProbe || q.options != nil || r.evidence() >= thin {
 		return false
 	}
 	r.survey(q.Class)
-	homes := r.homes(q)
+	homes, from := r.homes(q), r.byID[q.reader]
 	r.choices = r.choices[:0]
 	for _, s := range r.servers {
-		if s.role == Reader && r.usable(s, q.Class) && (r.warmth(s) == 1 || s.turn+coldAhead >= 1) {
-			r.choices = append(r.choices, choice{server: s, rank: r.homeRank(s, q, homes)})
+		c, warm := choice{server: s, rank: r.rng.Float64()}, r.warmth(s) == 1
+		ok := warm && s.role != Reader && from != nil && s.cell == from.cell
+		if q.phase == arrived {
+			ok, c.rank = s.role == Reader && (warm || s.turn+coldAhead >= 1), r.homeRank(s, q, homes)
+		}
+		if ok && r.usable(s, q.Class) {
+			r.choices = append(r.choices, c)
 		}
 	}
 	slices.SortFunc(r.choices, func(a, b choice) int { return cmp.Compare(a.rank, b.rank) })
@@ -576,22 +571,22 @@
 		s.health[0].move(r.now, 1, hardWeight)
 	} else {
 		s.load, s.loadAt, s.heard = e.Load.Queue+busySlots*max(e.Load.Busy, 0), r.now, r.now
+		if s.memory = e.Load.Memory; s.role != Reader && e.Load.Queue >= 1 {
+			s.fullTill = r.now + fullFor
+		}
 	}
 	askers := s.askers
 	s.askers = nil
 	for _, id := range askers {
 		if q := r.requests[id]; q != nil && q.unheard > 0 {
 			if q.unheard--; q.unheard == 0 {
-				q.freeAt = r.now
+				q.lookAt = r.now
 				r.advance(q)
 			}
 		}
 	}
 }
 
-// evidence is how many recent reads this router has seen of each reader.
-func (r *Router) evidence() float64 { return r.scatter.count(r.now) / float64(max(r.most[Reader], 1)) }
-
 // bestReader returns the reader with the lowest estimate; near-equal ones go by rank. Bad health alone
 // never leaves a request without a reader.
 func (r *Router) bestReader(q *request) (choice, bool) {
@@ -666,6 +661,9 @@
 
 // toWriter sends a read request to the writer with most room in its reader's cell.
 func (r *Router) toWriter(q *request) {
+	if r.asks(q) {
+		return
+	}
 	s := r.bestWriter(q)
 	if s == nil {
 		r.pause(q, q.freeAt+r.cfg.ReleaseWithin*4/5)
@@ -758,7 +756,7 @@
 // fill is how full a writer is: reported memory where there is a report, plus own streams by size.
 func (r *Router) fill(s *server) float64 {
 	f := float64(s.streams+len(s.waits)+1) / (s.Weight * r.warmth(s))
-	if s.memory >= 0 {
+	if s.memory >= 0 && r.told(s) {
 		return s.memory + f/1000
 	}
 	return f
@@ -806,7 +804,7 @@
 		return
 	}
 	was := q.phase
-	q.freeAt = r.now
+	q.freeAt, q.lookAt = r.now, r.now
 	if s != nil {
 		if was == streaming {
 			s.streams--
@@ -892,7 +890,7 @@
 
 func (r *Router) afterRead(q *request, e Ended) {
 	if e.Outcome == ReadDone {
-		q.phase = read
+		q.phase, q.options = read, nil
 		r.advance(q)
 		return
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -778,6 +779,31 @@
 	}
 }
 
+// Before a state goes on, the writers of its cell are asked: one with requests waiting is passed over, and where all
+// have them the state leaves the cell.
+func TestAsksBeforeAWrite(t *testing.T) {
+	for full, want := range map[int][]ServerID{0: {11, 12}, 11: {12}, 12: {11}, 23: {13}} {
+		b := newBench(t, func(c *Config) { c.MayProbe = true })
+		b.r.rng = rand.New(rand.NewPCG(2, 2)) // with this draw the state is none of those that go to cells with room to spare
+		b.arrive(1, 0)
+		b.do(ms, Probed{1, &Load{}})
+		s := b.sent(b.do(ms, Probed{2, &Load{}}))
+		var acts []Action
+		for _, a := range b.do(ms, Ended{Request: 1, Server: s, Outcome: ReadDone, After: 20 * ms}) {
+			if p, ok := a.(Probe); ok {
+				queue := 0.0
+				if full == int(p.Server) || full == 23 {
+					queue = 2
+				}
+				acts = append(acts, b.do(ms, Probed{p.Server, &Load{Memory: 0.3, Queue: queue}})...)
+			}
+		}
+		if to := b.sent(acts); !slices.Contains(want, to) {
+			t.Errorf("full %d: went to %d", full, to)
+		}
+	}
+}
+
 // One that hears enough asks nobody, and neither does one whose settings forbid it.
 func TestAsksNobody(t *testing.T) {
 	b := newBench(t, nil)
--- a/decide/state.go
+++ b/decide/state.go
@@ -28,6 +28,7 @@
 	sends             int
 	server            ServerID // of the attempt out
 	sentAt, freeAt    time.Duration
+	lookAt            time.Duration // of the first look for a server since then
 	reader            ServerID
 	promised          int        // tokens expected to be kept at the reader
 	ahead             float64    // own unfinished attempts at the server when sent
@@ -133,3 +134,20 @@
 func (s *server) doneWaiting(id RequestID) {
 	s.waits = slices.DeleteFunc(s.waits, func(w waiting) bool { return w.id == id })
 }
+
+func (r *Router) emit(a Action) { r.out = append(r.out, a) }
+
+// note takes a text as kept from the moment it is sent, so that a flood of one text goes where it is
+// being read.
+func (r *Router) note(key Key, id ServerID, tokens int) {
+	if key != 0 {
+		t := entry(r.table, key)
+		t.reader, t.tokens, t.at = id, tokens, r.now
+	}
+}
+
+// told reports whether a server's load is known by now.
+func (r *Router) told(s *server) bool { return !r.cfg.MayProbe || r.now-s.loadAt <= loadFresh }
+
+// evidence is how many recent reads this router has seen of each reader.
+func (r *Router) evidence() float64 { return r.scatter.count(r.now) / float64(max(r.most[Reader], 1)) }
