Draw the advice when to come back from the second half of its span

Cause: the settings allow at most 500 ms, and in a jam nearly every excess is longer, so each of 80 dispatchers told all it turned away to come back after exactly 500 ms. At fault: giveUp, which clamps and draws nothing.

Now the advice is drawn between half of it and all of it, by the router's own seed; it never passes the settings' limit.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -946,15 +946,16 @@
 
 // ---- Final answers.
 
-// giveUp answers a request that has no attempt out: a refusal when that is true, with advice to return
-// when the excess, in ms, should be gone; else a failure.
+// giveUp answers a request that has no attempt out: a refusal when that is true, with advice to return about
+// when the excess, in ms, should be gone, drawn lest all come back at once; else a failure.
 func (r *Router) giveUp(q *request, excess float64) {
 	c := r.cfg.Classes[q.Class]
 	if q.ran && (c.Effect == Unsafe || c.Effect == Keyed && c.Group != GroupAll) {
 		r.settle(q, Fail{q.Request})
 		return
 	}
-	r.settle(q, Refuse{q.Request, min(fromMS(max(excess, 0)), r.cfg.MaxRetryAfter)})
+	back := min(fromMS(max(excess, 0)), r.cfg.MaxRetryAfter)
+	r.settle(q, Refuse{q.Request, time.Duration((0.5 + r.rng.Float64()/2) * float64(back))})
 }
 
 // settle is the one exit: it releases what may be held, answers, and forgets the request.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -813,6 +813,24 @@
 	}
 }
 
+// Those who are turned away in a jam must not come back together, nor later than the settings allow.
+func TestAdviceToReturnIsSpread(t *testing.T) {
+	b := newBench(t, nil)
+	var least, most time.Duration
+	for id := range RequestID(200) {
+		b.r.requests[id+1] = &request{Arrival: Arrival{Request: id + 1}}
+		b.r.giveUp(b.r.requests[id+1], 5000)
+		refused := b.r.out[len(b.r.out)-1].(Refuse)
+		if id == 0 {
+			least = refused.RetryAfter
+		}
+		least, most = min(least, refused.RetryAfter), max(most, refused.RetryAfter)
+	}
+	if limit := b.r.cfg.MaxRetryAfter; least < limit/2 || most > limit || most-least < limit*2/5 {
+		t.Errorf("between %v and %v", least, most)
+	}
+}
+
 // Before a state goes on, the writers of its cell are asked: one with requests waiting is passed over, and where all
 // have them the state leaves the cell.
 func TestAsksBeforeAWrite(t *testing.T) {
