Give the program's tests a loopback address of their own

Seen once in a run of the whole suite on a clean clone: TestReload waited 20 s for a program that never came up, while eight runs of it alone passed. freeAddr gave a port of 127.0.0.1 back before the program took it, and the tests of other packages, which run at the same time, draw ports there too. That this was the cause in that run is likely, not shown. Now the port is on an address of the process's own, within 127.0.0.0/8.

--- a/cmd/rampspread/main_test.go
+++ b/cmd/rampspread/main_test.go
@@ -39,9 +39,12 @@
 }
 
 // freeAddr is an address that nobody listens on.
+// freeAddr is on a loopback address of this process's own: on 127.0.0.1 the tests of other packages, which run
+// beside these, could take the port before the program does.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
 	if err != nil {
 		t.Fatal(err)
 	}
