Listen beside a second run by SO_REUSEPORT, and answer operators' calls on ops

Drain had no way in: healthz said yes 4 s after drain-on.

Client and chat listeners now set SO_REUSEADDR and SO_REUSEPORT (clients.Listen), and open alone where that is refused. ops/LB_OPS is a line listener (internal/ops): a goroutine and a 1 s read deadline per caller, 64 open at most, answers from atomics only. check says yes from the listeners' start until SIGTERM; drain-on makes GET /healthz 503 (in the guard, for both fronts), turns keep-alives off and closes idle connections and those quiet for 2 s every 100 ms; drain-off undoes it. Under SIGTERM healthz stays 200, since the process that replaces this one shares the address.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +26,7 @@
 	"rampspread/internal/clients"
 	"rampspread/internal/core"
 	"rampspread/internal/discovery"
+	"rampspread/internal/ops"
 	"rampspread/internal/servers"
 	"rampspread/internal/wire"
 	"rampspread/internal/xds"
@@ -43,6 +45,7 @@
 		"LB_NAME":      func(c *wire.Config) *string { return &c.Name },
 		"LB_LISTEN":    func(c *wire.Config) *string { return &c.Listen },
 		"LB_DISCOVERY": func(c *wire.Config) *string { return &c.Discovery },
+		"LB_OPS":       func(c *wire.Config) *string { return &c.Ops },
 	})
 }
 
@@ -88,15 +91,16 @@
 
 // program is one running dispatcher.
 type program struct {
-	core     *core.Core
-	pool     *servers.Pool
-	watch    *discovery.Watcher
-	front    *clients.Front
-	chat     *chat.Front // nil without one
-	bodies   *semaphore.Weighted
-	draining atomic.Bool
-	guards   []*clients.Guard
-	servers  []*http.Server
+	core    *core.Core
+	pool    *servers.Pool
+	watch   *discovery.Watcher
+	front   *clients.Front
+	chat    *chat.Front // nil without one
+	bodies  *semaphore.Weighted
+	state   clients.State
+	ready   atomic.Bool // the client listeners take connections
+	guards  []*clients.Guard
+	servers []*http.Server
 }
 
 // options are what the command line says of a dispatcher besides its files' content.
@@ -194,7 +198,18 @@
 			return err
 		}
 	}
-	log.Printf("event=serving name=%s listen=%s chat=%t", cfg.Name, cfg.Listen, p.chat != nil)
+	p.ready.Store(true)
+	if cfg.Ops != "" {
+		calls := ops.New(map[string]ops.Call{"check": p.check, "drain-on": p.drainOn, "drain-off": p.drainOff},
+			slog.Default())
+		listener, err := net.Listen("tcp", cfg.Ops)
+		if err != nil {
+			return fmt.Errorf("ops: %w", err)
+		}
+		go calls.Serve(listener)
+		defer calls.Close()
+	}
+	log.Printf("event=serving name=%s listen=%s chat=%t ops=%s", cfg.Name, cfg.Listen, p.chat != nil, cfg.Ops)
 	for done := false; !done; {
 		select {
 		case err := <-failed:
@@ -225,12 +240,15 @@
 
 // listen starts a front on its address, with room for so many connections.
 func (p *program) listen(addr string, front http.Handler, conns int, failed chan<- error) error {
-	listener, err := net.Listen("tcp", addr)
+	listener, shared, err := clients.Listen(context.Background(), addr)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
+	}
+	if !shared {
+		log.Printf("event=listen_alone addr=%s", addr)
 	}
 	server := &http.Server{}
-	guard := clients.NewGuard(front, p.bodies, &p.draining)
+	guard := clients.NewGuard(front, p.bodies, &p.state)
 	guard.Attach(server)
 	p.guards, p.servers = append(p.guards, guard), append(p.servers, server)
 	go func() {
@@ -245,7 +263,7 @@
 // last on its connection. Idle connections close next, and the listeners last.
 func (p *program) drain() error {
 	log.Printf("event=draining")
-	p.draining.Store(true)
+	p.state.Stopping.Store(true)
 	time.Sleep(lameDuck)
 	for _, s := range p.servers {
 		s.SetKeepAlivesEnabled(false)
@@ -262,6 +280,60 @@
 	return errors.Join(errs...)
 }
 
+// quietFor is how long a drained front waits for a connection without an open request to say something.
+const quietFor = 2 * time.Second
+
+// check is the operators' call that asks whether this process takes clients.
+func (p *program) check() (bool, string) {
+	switch {
+	case p.state.Stopping.Load():
+		return false, "stopping"
+	case !p.ready.Load():
+		return false, "starting"
+	case p.state.Held.Load():
+		return true, "serving, drained"
+	}
+	return true, "serving"
+}
+
+// drainOn sends clients away: GET /healthz says no, each answer is the last on its connection, and
+// connections without an open request are closed as they come to be idle or quiet.
+func (p *program) drainOn() (bool, string) {
+	if p.state.Held.Swap(true) {
+		return true, "draining already"
+	}
+	log.Printf("event=drain_on")
+	for _, s := range p.servers {
+		s.SetKeepAlivesEnabled(false) // closes the idle, and each answer from now on is the last on its connection
+	}
+	go func() {
+		tick := time.NewTicker(100 * time.Millisecond)
+		defer tick.Stop()
+		for p.state.Held.Load() {
+			for _, g := range p.guards {
+				g.CloseQuiet(quietFor)
+			}
+			<-tick.C
+		}
+	}()
+	return true, "draining"
+}
+
+// drainOff takes clients again at once.
+func (p *program) drainOff() (bool, string) {
+	if p.state.Stopping.Load() {
+		return false, "stopping: SIGTERM came"
+	}
+	if !p.state.Held.Swap(false) {
+		return true, "serving already"
+	}
+	log.Printf("event=drain_off")
+	for _, s := range p.servers {
+		s.SetKeepAlivesEnabled(true)
+	}
+	return true, "serving"
+}
+
 // counters is one line of what was taken in, sent and answered.
 func (p *program) counters(ctx context.Context) string {
 	n := p.core.Counters(ctx)
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -27,16 +27,25 @@
 	roomWait = 5 * time.Millisecond // between looks for one to give way
 )
 
+// State is what the fronts of a program share of its course.
+type State struct {
+	// Stopping is set on SIGTERM: each answer is the last on its connection. GET /healthz still says yes,
+	// since a process that replaces this one may share its address and the front cannot tell them apart.
+	Stopping atomic.Bool
+	// Held is the operator's drain: GET /healthz says no, and connections end as soon as they are idle.
+	Held atomic.Bool
+}
+
 // Guard stands before a front's handler on its http.Server. It makes room for new connections, counts what is
-// turned away before the handler, bounds the bodies that are in memory at a time, and ends connections
-// while the program drains.
+// turned away before the handler, bounds the bodies that are in memory at a time, answers GET /healthz, and
+// ends connections while the program drains.
 type Guard struct {
-	next     http.Handler
-	bodies   *semaphore.Weighted
-	draining *atomic.Bool
-	bad      atomic.Int64
-	shed     atomic.Int64
-	closed   atomic.Int64
+	next   http.Handler
+	bodies *semaphore.Weighted
+	state  *State
+	bad    atomic.Int64
+	shed   atomic.Int64
+	closed atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]*conn
@@ -48,6 +57,7 @@
 	begun, handled int       // requests begun, and those that reached the handler
 	asked          bool      // a whole request has come
 	open           bool      // one is out
+	idle           bool      // between requests: one has been answered, the next has not begun
 	closed         bool      // it gave way
 	since          time.Time // when it came to have none, or began to send its next
 }
@@ -66,9 +76,9 @@
 	return k.open
 }
 
-// NewGuard guards next. The fronts of a program share bodies, in bytes, and draining.
-func NewGuard(next http.Handler, bodies *semaphore.Weighted, draining *atomic.Bool) *Guard {
-	return &Guard{next: next, bodies: bodies, draining: draining, conns: map[net.Conn]*conn{}}
+// NewGuard guards next. The fronts of a program share bodies, in bytes, and state.
+func NewGuard(next http.Handler, bodies *semaphore.Weighted, state *State) *Guard {
+	return &Guard{next: next, bodies: bodies, state: state, conns: map[net.Conn]*conn{}}
 }
 
 // Attach sets the server's handler, time limits and hooks.
@@ -95,11 +105,12 @@
 	switch state {
 	case http.StateActive:
 		k.begun++
+		k.idle = false
 		if k.asked {
 			k.since = time.Now()
 		}
 	case http.StateIdle:
-		k.open, k.since = false, time.Now()
+		k.open, k.idle, k.since = false, true, time.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(g.conns, c)
 		if k.begun > k.handled {
@@ -166,6 +177,27 @@
 	return true
 }
 
+// CloseQuiet closes the connections that are idle between requests, and those without an open request that
+// have sent nothing whole for quiet. It is how a drained front sends its clients away without cutting a request:
+// what is open is finished, and its answer is the last on its connection. It returns how many it closed.
+func (g *Guard) CloseQuiet(quiet time.Duration) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	silentAt := time.Now().Add(-quiet)
+	n := 0
+	for c, k := range g.conns {
+		inHandler := !k.idle && k.begun > 0 && k.handled == k.begun
+		if k.open || inHandler || !k.idle && !k.since.Before(silentAt) {
+			continue
+		}
+		k.closed = true
+		delete(g.conns, c)
+		c.Close()
+		n++
+	}
+	return n
+}
+
 // Bad is how many requests had heads that were cut short or malformed, or bodies of no use.
 func (g *Guard) Bad() int64 { return g.bad.Load() }
 
@@ -182,9 +214,18 @@
 		k.handled++
 		g.mu.Unlock()
 	}
-	if g.draining.Load() {
+	held := g.state.Held.Load()
+	if held || g.state.Stopping.Load() {
 		w.Header().Set("Connection", "close") // the last answer on its connection
 	}
+	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
+		if held {
+			http.Error(w, "draining", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+		return
+	}
 	if status := misframed(r); status != 0 {
 		g.bad.Add(1)
 		w.Header().Set("Connection", "close") // what follows is not read
--- a/internal/clients/guard_test.go
+++ b/internal/clients/guard_test.go
@@ -1,6 +1,8 @@
 package clients_test
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -8,7 +10,6 @@
 	"net/http/httptest"
 	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,8 +21,8 @@
 
 const room = 4 // connections
 
-func guarded(t *testing.T, bytes int64, draining *atomic.Bool, next http.HandlerFunc) (*clients.Guard, *httptest.Server) {
-	g := clients.NewGuard(next, semaphore.NewWeighted(bytes), draining)
+func guarded(t *testing.T, bytes int64, state *clients.State, next http.HandlerFunc) (*clients.Guard, *httptest.Server) {
+	g := clients.NewGuard(next, semaphore.NewWeighted(bytes), state)
 	s := httptest.NewUnstartedServer(nil)
 	g.Attach(s.Config)
 	s.Listener = g.Listen(s.Listener, room)
@@ -31,7 +32,7 @@
 }
 
 func TestBadHeadsAreCounted(t *testing.T) {
-	g, s := guarded(t, 1<<20, new(atomic.Bool), func(http.ResponseWriter, *http.Request) {})
+	g, s := guarded(t, 1<<20, new(clients.State), func(http.ResponseWriter, *http.Request) {})
 	for _, text := range []string{"GARBAGE\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost x\r\n\r\n"} {
 		conn, err := net.Dial("tcp", s.Listener.Addr().String())
 		if err != nil {
@@ -55,7 +56,7 @@
 // takes no room.
 func TestBodiesAreBounded(t *testing.T) {
 	in, let := make(chan bool), make(chan bool)
-	g, s := guarded(t, 10, new(atomic.Bool), func(w http.ResponseWriter, r *http.Request) {
+	g, s := guarded(t, 10, new(clients.State), func(w http.ResponseWriter, r *http.Request) {
 		if _, status, err := clients.ReadBody(w, r); err != nil {
 			w.WriteHeader(status)
 			return
@@ -93,26 +94,110 @@
 }
 
 func TestDrainingEndsConnections(t *testing.T) {
-	var draining atomic.Bool
-	_, s := guarded(t, 10, &draining, func(http.ResponseWriter, *http.Request) {})
+	var state clients.State
+	_, s := guarded(t, 10, &state, func(http.ResponseWriter, *http.Request) {})
 	for _, want := range []bool{false, true} {
-		draining.Store(want)
-		resp, err := http.Get(s.URL)
+		state.Stopping.Store(want)
+		for _, path := range []string{"/", "/healthz"} {
+			resp, err := http.Get(s.URL + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			// A process that replaces this one may share the address: healthz must not send clients from both.
+			if resp.Close != want || resp.StatusCode != 200 {
+				t.Errorf("stopping %t, %s: status %d, close %t", want, path, resp.StatusCode, resp.Close)
+			}
+		}
+	}
+}
+
+// The operator's drain says no to GET /healthz, ends each connection with its answer, and closes those that
+// are idle or quiet, but none with an open request; after it, healthz says yes again.
+func TestHeldFrontSendsClientsAway(t *testing.T) {
+	var state clients.State
+	in, let := make(chan bool), make(chan bool)
+	g, s := guarded(t, 1<<20, &state, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			in <- true
+			<-let
+		}
+	})
+	addr := s.Listener.Addr().String()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	idle, slow, silent := dial(), dial(), dial()
+	r := bufio.NewReader(idle)
+	ask := func(c net.Conn, r *bufio.Reader, path string) *http.Response {
+		t.Helper()
+		io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
-		if resp.Close != want || resp.StatusCode != 200 {
-			t.Errorf("draining %t: status %d, close %t", want, resp.StatusCode, resp.Close)
+		return resp
+	}
+	if resp := ask(idle, r, "/healthz"); resp.StatusCode != 200 || resp.Close {
+		t.Fatalf("before the drain: %d, close %t", resp.StatusCode, resp.Close)
+	}
+	io.WriteString(slow, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-in
+	time.Sleep(50 * time.Millisecond) // the idle one's state is told after its answer was written
+	state.Held.Store(true)
+	if n := g.CloseQuiet(time.Hour); n != 1 {
+		t.Errorf("closed %d of idle, open and silent, want the idle one", n)
+	}
+	if n := g.CloseQuiet(0); n != 1 {
+		t.Errorf("closed %d of open and silent when the silent one was quiet too long, want 1", n)
+	}
+	for _, c := range []net.Conn{idle, silent} {
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Error("a closed connection still reads")
 		}
 	}
+	let <- true
+	if resp, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the open request: %v, %v", resp, err)
+	}
+	fresh := dial()
+	if resp := ask(fresh, bufio.NewReader(fresh), "/healthz"); resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("drained: %d, close %t", resp.StatusCode, resp.Close)
+	}
+	state.Held.Store(false)
+	again := dial()
+	if resp := ask(again, bufio.NewReader(again), "/healthz"); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("after the drain: %d, close %t", resp.StatusCode, resp.Close)
+	}
+}
+
+// Two listeners share one address, as a process and the one that replaces it do.
+func TestListenersShareAnAddress(t *testing.T) {
+	first, shared, err := clients.Listen(context.Background(), "127.0.0.1:0")
+	if err != nil || !shared {
+		t.Fatalf("%v, shared %t", err, shared)
+	}
+	defer first.Close()
+	second, shared, err := clients.Listen(context.Background(), first.Addr().String())
+	if err != nil || !shared {
+		t.Fatalf("the second: %v, shared %t", err, shared)
+	}
+	second.Close()
 }
 
 // Connections that say nothing, send half a request, or ask once and stay, do not lock others out, and none
 // of them costs an open request its connection.
 func TestRoomIsMade(t *testing.T) {
 	in, let := make(chan bool), make(chan bool)
-	g, s := guarded(t, 1<<20, new(atomic.Bool), func(w http.ResponseWriter, r *http.Request) {
+	g, s := guarded(t, 1<<20, new(clients.State), func(w http.ResponseWriter, r *http.Request) {
 		if _, _, err := clients.ReadBody(w, r); err == nil && r.URL.Path == "/held" {
 			in <- true
 			<-let
@@ -162,7 +247,7 @@
 		"Content-Length: -2\r\n\r\n":                                        "400",
 		"Content-Length: 2\r\nContent-Length: 3\r\n\r\n":                    "400",
 	} {
-		g, s := guarded(t, 1<<20, new(atomic.Bool), func(_ http.ResponseWriter, r *http.Request) {
+		g, s := guarded(t, 1<<20, new(clients.State), func(_ http.ResponseWriter, r *http.Request) {
 			t.Errorf("%q: %s reached the handler", head, r.URL)
 		})
 		conn, err := net.Dial("tcp", s.Listener.Addr().String())
@@ -182,7 +267,7 @@
 // A client that sends half a request, or half a head, is let go in time, also where the head alone is bad.
 func TestHalfARequest(t *testing.T) {
 	_, front, _ := serve(t, testkit.Read, testkit.Write("a"))
-	_, s := guarded(t, 1<<20, new(atomic.Bool), front.ServeHTTP)
+	_, s := guarded(t, 1<<20, new(clients.State), front.ServeHTTP)
 	texts := []string{"", "POST /v1/chat/comp", "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nContent-Length: 9\r\n\r\n{"}
 	var conns []net.Conn
 	for _, text := range texts {
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -13,6 +13,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Ops       string // where operators call; none: nowhere
 	Seed      string
 	Limits    struct {
 		Cores    float64
@@ -39,6 +40,11 @@
 			return fmt.Errorf("config: %s: %w", name, err)
 		}
 	}
+	if c.Ops != "" {
+		if _, _, err := net.SplitHostPort(c.Ops); err != nil {
+			return fmt.Errorf("config: ops: %w", err)
+		}
+	}
 	if _, err := c.SeedNumber(); err != nil {
 		return err
 	}
