Retune the module's classes and attempts on SIGHUP, all or nothing

Requests naming the new classes were turned away as unknown.

Now reload checks the whole file (wire.Settings.Check: names, deadline and aim over 0, attempts over 0, kinds, duties, zones) and changes nothing when it fails. The front's names change after the module's.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -8,6 +8,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -101,6 +102,7 @@
 	ready   atomic.Bool // the client listeners take connections
 	guards  []*clients.Guard
 	servers []*http.Server
+	classes wire.Classes // the module's classes; only reload changes them, in one goroutine
 }
 
 // options are what the command line says of a dispatcher besides its files' content.
@@ -125,12 +127,13 @@
 	if err != nil {
 		return err
 	}
-	router, err := cfg.Settings.Router()
+	classes, err := cfg.Settings.Table()
 	if err != nil {
 		return err
 	}
+	router := classes.Config
 	router.MayProbe = cfg.Settings.Limits.Probing
-	p := &program{pool: servers.New(&cfg.Settings, max(sockets/8, 4), max(sockets/8, 4)), bodies: semaphore.NewWeighted(memory / 8)}
+	p := &program{classes: classes, pool: servers.New(&cfg.Settings, max(sockets/8, 4), max(sockets/8, 4)), bodies: semaphore.NewWeighted(memory / 8)}
 	if p.core, err = core.New(router, seed, p.pool); err != nil {
 		return err
 	}
@@ -173,7 +176,7 @@
 		for {
 			select {
 			case <-on.reload:
-				p.reload(o.config)
+				p.reload(running, o.config)
 			case <-running.Done():
 				return
 			}
@@ -225,16 +228,31 @@
 	return err
 }
 
-// reload reads the configuration's file again and follows discovery where it now says; the environment told
-// only where discovery was at the start. All else in the file holds from the next start on. A file that is
-// of no use changes nothing.
-func (p *program) reload(path string) {
+// reload reads the configuration's file again, retunes the module to its settings and follows discovery where
+// it now says; the environment told only where discovery was at the start. A file that fails any check changes
+// nothing at all. Limits, telemetry, zones, kinds, tenants and the chat front's file hold from the next start.
+func (p *program) reload(ctx context.Context, path string) {
 	cfg, err := read(path, nil)
+	if err == nil {
+		err = cfg.Settings.Check()
+	}
+	var next wire.Classes
+	if err == nil {
+		next, err = p.classes.Retune(&cfg.Settings)
+	}
+	if err == nil {
+		next.Config.MayProbe = cfg.Settings.Limits.Probing
+		err = p.core.Retune(ctx, next.Config)
+	}
 	if err != nil {
 		log.Printf("event=reload_failed err=%q", err)
 		return
 	}
-	log.Printf("event=reloaded discovery=%s", cfg.Discovery)
+	p.classes = next
+	p.front.SetClasses(next.Names)
+	names := slices.Sorted(maps.Keys(next.Names))
+	log.Printf("event=reloaded discovery=%s classes=%s attempts=%d", cfg.Discovery, strings.Join(names, ","),
+		next.Config.MaxAttempts)
 	p.watch.Move(cfg.Discovery)
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -447,7 +447,7 @@
 
 // advance moves a request that has no attempt out.
 func (r *Router) advance(q *request) {
-	if q.sends >= r.cfg.MaxAttempts || r.now+answerBefore >= q.deadline {
+	if q.sends >= r.attempts(q) || r.now+answerBefore >= q.deadline {
 		r.giveUp(q, 0)
 		return
 	}
@@ -469,7 +469,7 @@
 
 // toReader applies the admission test and sends the request to the reader with the lowest estimate.
 func (r *Router) toReader(q *request) {
-	if q.sends+2 > r.cfg.MaxAttempts {
+	if q.sends+2 > r.attempts(q) {
 		r.giveUp(q, 0)
 		return
 	}
@@ -497,7 +497,7 @@
 	limit := fromMS(patience*(c.queue+c.cost)+r.scatter.mean(r.now, 0, priorWeight)) + readGrace
 	left := q.deadline - r.now
 	limit = min(limit, max(left/2, readGrace))
-	if r.now+limit+est+readGrace > q.deadline || q.sends+3 > r.cfg.MaxAttempts {
+	if r.now+limit+est+readGrace > q.deadline || q.sends+3 > r.attempts(q) {
 		limit = left // no time or attempt for another reader: wait for this one
 	}
 	r.send(q, s, limit, r.now+time.Duration(1.5*float64(est))+100*ms)
@@ -669,7 +669,7 @@
 	left := q.deadline - r.now
 	limit := left
 	// A silent writer is left while there is time for another, where a repeat is allowed.
-	if r.cfg.Classes[q.Class].Effect == Safe && left > 2*writeGrace && q.sends+1 < r.cfg.MaxAttempts {
+	if r.cfg.Classes[q.Class].Effect == Safe && left > 2*writeGrace && q.sends+1 < r.attempts(q) {
 		limit = max(left/2, writeGrace)
 	}
 	q.phase, q.ahead = writing, float64(len(s.waits))
@@ -908,7 +908,7 @@
 	if !e.Outcome.NeverRan() && !q.ran {
 		q.ran, q.ranAt, q.ranOn = true, q.sentAt, e.Server
 	}
-	again := r.cfg.Classes[q.Class].Effect == Safe && q.sends+2 <= r.cfg.MaxAttempts
+	again := r.cfg.Classes[q.Class].Effect == Safe && q.sends+2 <= r.attempts(q)
 	if e.Outcome == NoState || e.Begun && again {
 		// Read anew. The state may be gone, or only out of reach: it must not stay pinned meanwhile. Another
 		// writer could not find it, and the attempt would be missed for the second read.
--- /dev/null
+++ b/decide/retune.go
@@ -0,0 +1,64 @@
+package decide
+
+import (
+	"errors"
+	"math"
+	"slices"
+	"time"
+)
+
+// tune is the number of attempts in force from a time on.
+type tune struct {
+	from     time.Duration
+	attempts int
+}
+
+// Retune takes a new configuration while requests are open. Its classes must begin with the ones in force,
+// unchanged, so that a number means the same class for every request that is open; classes that clients may
+// no longer name stay in the list. An open request may take no more attempts than the least that was in force
+// since it came. The zone, the tenants' quotas and the kinds stay as they were. now is the time of the change.
+func (r *Router) Retune(now time.Duration, cfg Config) error {
+	if err := cfg.Validate(); err != nil {
+		return err
+	}
+	if len(cfg.Classes) < len(r.cfg.Classes) || !slices.Equal(cfg.Classes[:len(r.cfg.Classes)], r.cfg.Classes) {
+		return errors.New("retune: the classes in force must stay, in their order")
+	}
+	r.now = max(now, r.now)
+	cfg.Zone, cfg.TenantQuotas, cfg.Kinds = r.cfg.Zone, r.cfg.TenantQuotas, r.cfg.Kinds
+	oldest := r.now
+	for _, q := range r.requests {
+		oldest = min(oldest, q.at)
+	}
+	// What was in force before the oldest open request came binds no one any more.
+	r.tunes = slices.DeleteFunc(r.tunes, func(t tune) bool { return t.from < oldest })
+	r.tunes = append(r.tunes, tune{from: r.now, attempts: r.cfg.MaxAttempts})
+	r.cfg = cfg
+	top, low := math.Inf(-1), math.Inf(1)
+	for _, c := range cfg.Classes {
+		top, low = math.Max(top, c.Worth), math.Min(low, c.Worth)
+		r.tightest = min(r.tightest, toMS(c.Aim)*headroom)
+	}
+	r.critical = r.critical[:0]
+	for _, c := range cfg.Classes {
+		r.critical = append(r.critical, c.Worth == top && top > low)
+	}
+	for _, s := range r.byID {
+		for len(s.health) < 1+len(cfg.Classes) {
+			s.health = append(s.health, level{fade: healthFade})
+		}
+	}
+	return nil
+}
+
+// attempts is how many attempts a request may take: the least number in force since it came.
+func (r *Router) attempts(q *request) int {
+	n := r.cfg.MaxAttempts
+	for _, t := range r.tunes {
+		// t.attempts held until t.from; the request saw it if it came before.
+		if q.at < t.from {
+			n = min(n, t.attempts)
+		}
+	}
+	return n
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -121,6 +121,7 @@
 	arrivals evidence
 	each     evidence // ms a request ahead
 	tenants  []tenant
+	tunes    []tune // attempts in force before each retune that an open request may have seen
 }
 
 // entry returns the map's value for a key, made on first use.
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -34,11 +34,23 @@
 	core     *core.Core
 	settings *wire.Settings
 	bad      atomic.Int64
-	open     sync.Map // ids of open requests
+	open     sync.Map                       // ids of open requests
+	classes  atomic.Pointer[map[string]int] // the module's class for each name that a client may give
 }
 
 // New returns a Front on the core.
-func New(c *core.Core, settings *wire.Settings) *Front { return &Front{core: c, settings: settings} }
+func New(c *core.Core, settings *wire.Settings) *Front {
+	f := &Front{core: c, settings: settings}
+	classes := map[string]int{}
+	for i, c := range settings.Classes {
+		classes[c.Name] = i
+	}
+	f.classes.Store(&classes)
+	return f
+}
+
+// SetClasses changes the classes that clients may name, after a retune; open requests keep theirs.
+func (f *Front) SetClasses(classes map[string]int) { f.classes.Store(&classes) }
 
 // Bad is how many requests made no sense and were answered without being sent anywhere.
 func (f *Front) Bad() int64 { return f.bad.Load() }
@@ -117,10 +129,8 @@
 		return fail(http.StatusBadRequest, "X-Trace-Id missing or malformed")
 	}
 	req := core.Request{Class: -1, Session: Key(h.Get("X-Object"))}
-	for i, c := range f.settings.Classes {
-		if c.Name == h.Get("X-Qos") {
-			req.Class = i
-		}
+	if class, ok := (*f.classes.Load())[h.Get("X-Qos")]; ok {
+		req.Class = class
 	}
 	if req.Class < 0 {
 		return fail(http.StatusBadRequest, "X-Qos missing or unknown")
--- /dev/null
+++ b/internal/core/retune.go
@@ -0,0 +1,31 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"rampspread/decide"
+)
+
+// Retune gives the module a new configuration while requests are open, and returns once it has it or
+// has refused it.
+func (c *Core) Retune(ctx context.Context, cfg decide.Config) error {
+	done := make(chan error, 1)
+	if !c.post(func() { done <- c.router.Retune(c.now(), cfg) }) {
+		return errStopped
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			return fmt.Errorf("core: %w", err)
+		}
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("core: retune: %w", ctx.Err())
+	case <-c.done:
+		return errStopped
+	}
+}
+
+var errStopped = errors.New("core: stopped")
