--- /dev/null
+++ b/cmd/rampspread/ops_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"rampspread/internal/testkit"
+)
+
+// call makes one operator's call and returns its answer line.
+func call(t *testing.T, addr, line string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintln(c, line)
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		t.Fatalf("%s: %v", line, err)
+	}
+	return strings.TrimSpace(answer)
+}
+
+func healthz(t *testing.T, listen string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + listen + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// The operators' calls on LB_OPS: check, and a drain that healthz shows and that drain-off ends. SIGHUP retunes
+// the classes; a broken file changes nothing, not even discovery's address.
+func TestOperatorCallsAndRetune(t *testing.T) {
+	reader, writer := testkit.NewReplica(t, testkit.Read), testkit.NewReplica(t, testkit.Write("alpha"))
+	list := listText(reader.Addr, writer.Addr)
+	discovery, _ := newAgent(t, list)
+	listen, opsAddr := freeAddr(t), freeAddr(t)
+	config := file(t, "config.json", configText(listen, discovery, list))
+	t.Setenv("LB_CONFIG", config)
+	t.Setenv("LB_OPS", opsAddr)
+	ctx, term := context.WithCancel(context.Background())
+	defer term()
+	reload, out, ended := make(chan os.Signal), &output{}, make(chan error, 1)
+	log.SetOutput(out) // the events of the program, which this test reads
+	defer log.SetOutput(os.Stderr)
+	go func() {
+		ended <- run(ctx, []string{"serve"}, signals{print: make(chan os.Signal), reload: reload}, out)
+	}()
+	ready(t, listen)
+	for _, c := range []struct{ call, want string }{
+		{"check", "SUCCESS serving"}, {"drain-on", "SUCCESS draining"}, {"check", "SUCCESS serving, drained"},
+		{"restart", "FAILURE unknown call"},
+	} {
+		if got := call(t, opsAddr, c.call); !strings.HasPrefix(got, c.want) {
+			t.Errorf("%s: %q, want %q", c.call, got, c.want)
+		}
+	}
+	if status := healthz(t, listen); status != http.StatusServiceUnavailable {
+		t.Errorf("drained: healthz %d", status)
+	}
+	if got := call(t, opsAddr, "drain-off"); got != "SUCCESS serving" || healthz(t, listen) != 200 {
+		t.Errorf("drain-off: %q", got)
+	}
+
+	ask := func(class string) int {
+		r, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/v1/chat/completions", strings.NewReader("{}"))
+		for name, v := range map[string]string{"X-Trace-Id": "a" + class, "X-Qos": class, "X-Expires-In": "60000m",
+			"X-Props": "prompt_len=8"} {
+			r.Header.Set(name, v)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	retune := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		n := strings.Count(out.String(), "event=reload")
+		reload <- os.Interrupt
+		testkit.Eventually(t, "the reload", func() bool { return strings.Count(out.String(), "event=reload") > n })
+	}
+	added := strings.Replace(configText(listen, discovery, list), `{"name":"frage"`,
+		`{"name":"neu","effect":"retryable","importance":1,"promiseMs":900,"hardLimitMs":4000},{"name":"frage"`, 1)
+	broken := strings.Replace(strings.Replace(configText(listen, "127.0.0.1:1", list), `"hardLimitMs":5000`,
+		`"hardLimitMs":0`, 1), `"name":"frage"`, `"name":"frage2"`, 1)
+	if ask("neu") != 400 {
+		t.Error("a class that is not in the settings yet was taken")
+	}
+	retune(added)
+	if status := ask("neu"); status != 200 {
+		t.Errorf("the class that a retune added: status %d", status)
+	}
+	retune(broken)
+	if got := out.String(); !strings.Contains(got, "event=reload_failed") || strings.Contains(got, "127.0.0.1:1 ") ||
+		ask("frage") != 200 {
+		t.Errorf("a broken file was taken: %s", out.String())
+	}
+	term()
+	if err := <-ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
