Make room from connections silent longest by their last byte, so slow writers finish

A probe log in makeRoom showed 3,933 closes for room, 3,915 of them of connections with no whole request after 0.1 s counted from their start (guard.go makeRoom: k.since), which a client writing its request in pieces is too.

The guard's listener now wraps each connection to note its last byte (clients.heard), and makeRoom picks the one whose first request has not come that has sent nothing for longest, by that byte. Limits stay at 2 s and 2.5 s.

TestSlowWriterKeepsItsRoom fails without the change.

--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -139,11 +139,38 @@
 	for !l.guard.makeRoom(l.most) {
 		time.Sleep(roomWait)
 	}
-	return c, nil
+	return &heard{Conn: c}, nil
 }
 
-// makeRoom tells whether one more connection has room, once the one that is best missed is closed: the
-// oldest whose first request has not come whole, else the one without an open request for longest.
+// heard is a client's connection that knows when its last byte came, so that one that is slowly writing a
+// request is told apart from one that says nothing.
+type heard struct {
+	net.Conn
+	last atomic.Int64 // UnixNano of the last read that brought bytes; 0: none yet
+}
+
+// Read implements net.Conn.
+func (h *heard) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n > 0 {
+		h.last.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// lastByte is when a connection last sent something, or when it came if it has not yet.
+func lastByte(c net.Conn, since time.Time) time.Time {
+	if h, ok := c.(*heard); ok {
+		if at := h.last.Load(); at != 0 && time.Unix(0, at).After(since) {
+			return time.Unix(0, at)
+		}
+	}
+	return since
+}
+
+// makeRoom tells whether one more connection has room, once the one that is best missed is closed: the one
+// whose first request has not come whole and that has sent nothing for longest, else the one without an open
+// request for longest.
 func (g *Guard) makeRoom(most int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -156,8 +183,9 @@
 	for c, k := range g.conns {
 		switch {
 		case k.open:
-		case !k.asked && k.since.Before(silentAt):
-			silent, silentAt = c, k.since
+		case !k.asked && lastByte(c, k.since).Before(silentAt):
+			// One that goes on writing a request slowly is not silent: what it sends counts from its last byte.
+			silent, silentAt = c, lastByte(c, k.since)
 		case k.asked && k.since.Before(idleAt):
 			idle, idleAt = c, k.since
 		}
--- a/internal/clients/guard_test.go
+++ b/internal/clients/guard_test.go
@@ -286,3 +286,45 @@
 		}
 	}
 }
+
+// When room is needed, a client that is slowly writing its request keeps its connection, and those that have
+// sent nothing for longer give way first.
+func TestSlowWriterKeepsItsRoom(t *testing.T) {
+	_, s := guarded(t, 1<<20, new(clients.State), func(w http.ResponseWriter, r *http.Request) {
+		clients.ReadBody(w, r)
+	})
+	addr := s.Listener.Addr().String()
+	slow, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	request := "POST / HTTP/1.1\r\nHost: b\r\nContent-Length: 1\r\n\r\n1"
+	written := make(chan error, 1)
+	go func() { // a byte every 20 ms: 0.9 s for the whole request, while others crowd in
+		for i := range request {
+			if _, err := io.WriteString(slow, request[i:i+1]); err != nil {
+				written <- err
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		written <- nil
+	}()
+	time.Sleep(150 * time.Millisecond) // older than the 0.1 s after which a silent one gives way
+	for range 3 * room {               // silent ones, each a new need for room
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		time.Sleep(30 * time.Millisecond)
+	}
+	if err := <-written; err != nil {
+		t.Fatalf("the slow writer lost its connection: %v", err)
+	}
+	slow.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if resp, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the slow writer's answer: %v, %v", resp, err)
+	}
+}
