Answer a cut operator's call with FAILURE and carry out nothing

Now only a whole line is a call; part of one, closed or past 1 s, gets "FAILURE cut call". Silent callers are let go as before. Tests: "drain-o" and "drain-on" without an end change nothing and are answered; stalled callers with half a line get FAILURE, silent ones a close (both fail without the change).

--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"slices"
@@ -136,13 +135,17 @@
 	var ok bool
 	var text string
 	switch call, known := s.calls[name]; {
+	case errors.Is(err, errLong):
+		s.bad.Add(1)
+		ok, text = false, "line too long"
+	case errors.Is(err, errCut):
+		// A call without its line's end may be cut anywhere, "drain-off" to "drain-o" as well as before its end:
+		// nothing is done, and whoever still reads is told.
+		s.bad.Add(1)
+		ok, text = false, "cut call: no whole line within 1 s"
 	case err != nil:
 		s.bad.Add(1)
-		if errors.Is(err, errLong) {
-			ok, text = false, "line too long"
-		} else {
-			return // nobody waits for an answer, or nobody said what to do
-		}
+		return // nobody said anything, and nobody waits any more
 	case !known:
 		s.bad.Add(1)
 		ok, text = false, fmt.Sprintf("unknown call %q: there are %s", clip(name), s.names())
@@ -161,18 +164,23 @@
 
 var errLong = errors.New("line too long")
 
-// readLine reads one line, without its end; a last line without one counts when the caller stops writing.
+// readLine reads one whole line, without its end.
 func readLine(r *bufio.Reader) (string, error) {
 	line, err := r.ReadSlice('\n')
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
 		return "", errLong
-	case err != nil && !(len(line) > 0 && errors.Is(err, io.EOF)):
+	case err != nil && len(line) > 0:
+		return "", errCut
+	case err != nil:
 		return "", fmt.Errorf("ops: read: %w", err)
 	}
 	return strings.TrimSpace(string(line)), nil
 }
 
+// errCut is a line that ended, or stopped, before its end.
+var errCut = errors.New("cut call")
+
 func (s *Server) names() string {
 	var names []string
 	for name := range s.calls {
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -45,8 +45,9 @@
 func TestCallsAreAnswered(t *testing.T) {
 	var on atomic.Bool
 	s, addr := serve(t, map[string]ops.Call{
-		"drain-on": func() (bool, string) { on.Store(true); return true, "draining" },
-		"check":    func() (bool, string) { return !on.Load(), "" },
+		"drain-on":  func() (bool, string) { on.Store(true); return true, "draining" },
+		"check":     func() (bool, string) { return !on.Load(), "" },
+		"drain-off": func() (bool, string) { on.Store(false); return true, "serving" },
 	})
 	for _, c := range []struct{ line, want string }{
 		{"check\n", "SUCCESS"}, {"drain-on\r\n", "SUCCESS draining"}, {"check\n", "FAILURE"},
@@ -56,7 +57,18 @@
 			t.Errorf("%.20q: %q, want %q", c.line, got, c.want)
 		}
 	}
-	if s.Served() != 3 || s.Bad() != 2 {
+	if call(t, addr, "drain-off\n") != "SUCCESS serving\n" {
+		t.Fatal("drain-off")
+	}
+	for _, cut := range []string{"drain-o", "drain-on"} { // cut before its end, or just at it, and the caller waits
+		if got := call(t, addr, cut); got != "FAILURE cut call: no whole line within 1 s\n" {
+			t.Errorf("%q: %q", cut, got)
+		}
+	}
+	if on.Load() || call(t, addr, "check\n") != "SUCCESS \n" {
+		t.Error("a cut call was carried out or changed something")
+	}
+	if s.Served() != 5 || s.Bad() != 4 {
 		t.Errorf("served %d, bad %d", s.Served(), s.Bad())
 	}
 }
@@ -80,10 +92,15 @@
 	if got := call(t, addr, "check\n"); got != "SUCCESS serving\n" || time.Since(start) > time.Second {
 		t.Errorf("%q after %v", got, time.Since(start))
 	}
-	for _, c := range stalled {
+	for i, c := range stalled {
 		c.SetReadDeadline(time.Now().Add(5 * time.Second))
-		if _, err := c.Read(make([]byte, 64)); err != io.EOF {
-			t.Errorf("a stalled caller: %v, want it let go", err)
+		got, err := io.ReadAll(c)
+		want := "" // one that said nothing is let go
+		if i%2 == 0 {
+			want = "FAILURE cut call: no whole line within 1 s\n"
+		}
+		if err != nil || string(got) != want {
+			t.Errorf("stalled caller %d: %q, %v; want %q and a close", i, got, err, want)
 		}
 	}
 }
