Test a second process beside the first: it says yes, and SIGTERM to the first loses nothing

Two processes of the program on one client address with their own LB_OPS; a request held at the replica across the old one's SIGTERM, and 40 more over its last second of accepting and its end, are all answered 200 whole. Without SO_REUSEPORT the second cannot bind and check never answers.

--- a/cmd/rampspread/ops_test.go
+++ b/cmd/rampspread/ops_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -119,3 +121,66 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// A second process starts beside the first on the same client address, says yes on its own ops address, and
+// after SIGTERM to the first every request is answered, by one or the other, with nothing lost.
+func TestReplacementBesideTheFirst(t *testing.T) {
+	in, let := make(chan bool, 1), make(chan bool)
+	reader := testkit.NewReplica(t, testkit.Read)
+	writer := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 0 { // the first is held across SIGTERM, and must still be answered
+			in <- true
+			<-let
+		}
+		testkit.Write("alpha")(w, r, n)
+	})
+	list := listText(reader.Addr, writer.Addr)
+	discovery, _ := newAgent(t, list)
+	listen := freeAddr(t)
+	config := file(t, "config.json", configText(listen, discovery, list))
+	start := func(ops string) (*exec.Cmd, *output) {
+		out := &output{}
+		p := exec.Command(os.Args[0], "serve")
+		p.Env = append(os.Environ(), "RAMPSPREAD_TEST_PROGRAM=1", "LB_CONFIG="+config, "LB_OPS="+ops)
+		p.Stdout, p.Stderr = out, out
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { p.Process.Kill(); p.Wait() })
+		return p, out
+	}
+	oldOps, newOps := freeAddr(t), freeAddr(t)
+	old, oldOut := start(oldOps)
+	ready(t, listen)
+	held := make(chan int)
+	go func() { status, _ := post(t, listen, "held", `{}`); held <- status }()
+	<-in
+	_, newOut := start(newOps)
+	testkit.Eventually(t, "the new process to say yes", func() bool {
+		c, err := net.Dial("tcp", newOps)
+		if err != nil {
+			return false
+		}
+		c.Close()
+		return call(t, newOps, "check") == "SUCCESS serving"
+	})
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 40 { // across the old one's last accepting and its end
+		if status, text := post(t, listen, fmt.Sprintf("r%d", i), `{}`); status != 200 || text != testkit.Answer("alpha") {
+			t.Errorf("request %d: status %d, %q", i, status, text)
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	close(let)
+	if status := <-held; status != 200 {
+		t.Errorf("the request held across SIGTERM: %d", status)
+	}
+	if err := old.Wait(); err != nil {
+		t.Errorf("the old process ended with %v: %s", err, oldOut.String())
+	}
+	if !strings.Contains(newOut.String(), "event=serving") || strings.Contains(newOut.String(), "listen_alone") {
+		t.Errorf("the new process: %s", newOut.String())
+	}
+}
