Take chunked bodies, and refuse one that also says its length by the raw lines

Ruled out: a parser of heads of our own (a second reading of the same bytes), and a window of raw bytes for each connection (20 KB times 470). Change: the listener's connection counts the lines that begin with Content-Length, however the bytes are cut; a request that says its length accounts for its own. A chunked request on a connection with one line more is answered 400 and its connection ends; where nobody saw the raw bytes it is 411 as before. Bodies went on to replicas with a length already. A request sent ahead behind a chunked one is turned away with it.

Tests: whole, cut at each byte, byte by byte, too long, trailers, both framings, on a kept connection.

--- /dev/null
+++ b/internal/clients/chunked_test.go
@@ -0,0 +1,124 @@
+package clients_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"rampspread/internal/clients"
+	"rampspread/internal/testkit"
+)
+
+const chunkedHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Trace-Id: %s\r\nX-Qos: frage\r\n" +
+	"X-Expires-In: 30000m\r\nX-Props: " + props + "\r\nTransfer-Encoding: chunked\r\n"
+
+func chunkedServer(t *testing.T) (*testkit.Fleet, *clients.Guard, string) {
+	fleet, front, _ := serve(t, testkit.Read, testkit.Write("a"))
+	g, s := guarded(t, 1<<20, new(clients.State), front.ServeHTTP)
+	return fleet, g, s.Listener.Addr().String()
+}
+
+func dial(t *testing.T, addr string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	return conn.(*net.TCPConn)
+}
+
+// Bodies in chunks are taken on a kept connection beside ones that say their length, with trailers too, and
+// go on to replicas as one body with a length.
+func TestChunkedBodies(t *testing.T) {
+	fleet, g, addr := chunkedServer(t)
+	conn := dial(t, addr)
+	answers := bufio.NewReader(conn)
+	sized := strings.Replace(chunkedHead, "Transfer-Encoding: chunked", "Content-Length: 9", 1)
+	want := `{"n": 12}`
+	for i, text := range []string{
+		chunkedHead + "\r\n9\r\n" + want + "\r\n0\r\n\r\n",
+		sized + "\r\n" + want,
+		chunkedHead + "\r\n4;x=y\r\n" + want[:4] + "\r\n5\r\n" + want[4:] + "\r\n0\r\n\r\n",
+		chunkedHead + "Trailer: X-Sum\r\n\r\n9\r\n" + want + "\r\n0\r\nX-Sum: 1\r\n\r\n",
+	} {
+		fmt.Fprintf(conn, text, fmt.Sprint("id", i))
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if body, err := io.ReadAll(resp.Body); resp.StatusCode != 200 || string(body) != testkit.Answer("a") {
+			t.Errorf("request %d: status %d, %q, %v", i, resp.StatusCode, body, err)
+		}
+		if h := fleet.Writer.Header(i); h.Get("Content-Length") != "9" {
+			t.Errorf("request %d went on without its length: %v", i, h)
+		}
+	}
+	for i, body := range append(fleet.Reader.Bodies(), fleet.Writer.Bodies()...) {
+		if body != want {
+			t.Errorf("body %d: %q", i, body)
+		}
+	}
+	if g.Bad() != 0 {
+		t.Errorf("%d counted as bad", g.Bad())
+	}
+	// Behind them, one with both framings is turned away, and its connection ends.
+	fmt.Fprintf(conn, chunkedHead+"Content-Length: 9\r\n\r\n9\r\n"+want+"\r\n0\r\n\r\n", "both")
+	if resp, err := http.ReadResponse(answers, nil); err != nil || resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("both framings on a kept connection: %v, %v", resp, err)
+	}
+}
+
+// However a chunked request is cut into writes it is taken, and a part of it never is.
+func TestChunkedCuts(t *testing.T) {
+	fleet, _, addr := chunkedServer(t)
+	text := fmt.Sprintf(chunkedHead, "whole") + "\r\n4\r\n{\"n\"\r\n2\r\n:1\r\n1\r\n}\r\n0\r\n\r\n"
+	conn := dial(t, addr)
+	conn.SetNoDelay(true)
+	for i := range text {
+		io.WriteString(conn, text[i:i+1])
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("byte by byte: %v, %v", resp, err)
+	}
+	for at := range len(text) - 1 {
+		conn := dial(t, addr)
+		io.WriteString(conn, strings.Replace(text[:at], "whole", "parts", 1))
+		conn.CloseWrite()
+		got, _ := io.ReadAll(conn)
+		if strings.HasPrefix(string(got), "HTTP/1.1 2") {
+			t.Errorf("cut at %d: answered %q", at, got)
+		}
+		conn.Close()
+	}
+	if total, _ := fleet.Reader.Calls(); total != 1 {
+		t.Errorf("%d sends, wanted the whole request's only", total)
+	}
+}
+
+// A chunked body over the limit is turned away as any other, without a send.
+func TestChunkedTooLong(t *testing.T) {
+	fleet, _, addr := chunkedServer(t)
+	conn := dial(t, addr)
+	go func() {
+		fmt.Fprintf(conn, chunkedHead+"\r\n", "long")
+		for range 65 {
+			if _, err := io.WriteString(conn, "1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n"); err != nil {
+				return
+			}
+		}
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("%v, %v", resp, err)
+	}
+	if total, _ := fleet.Reader.Calls(); total != 0 {
+		t.Errorf("%d sends", total)
+	}
+}
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -54,6 +55,8 @@
 // conn is what the guard knows of a connection.
 type conn struct {
 	guard          *Guard
+	heard          *heard    // its raw bytes; nil where another listener accepted it
+	lengths        int64     // Content-Length lines that its requests' heads are known to have had
 	begun, handled int       // requests begun, and those that reached the handler
 	asked          bool      // a whole request has come
 	open           bool      // one is out
@@ -87,6 +90,7 @@
 	s.ReadHeaderTimeout, s.ReadTimeout, s.IdleTimeout, s.MaxHeaderBytes = headWait, bodyWait, clientIdle, maxHead
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		k := &conn{guard: g, since: time.Now()}
+		k.heard, _ = c.(*heard)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.conns[c] = k
@@ -143,21 +147,57 @@
 }
 
 // heard is a client's connection that knows when its last byte came, so that one that is slowly writing a
-// request is told apart from one that says nothing.
+// request is told apart from one that says nothing, and how many lines began with Content-Length.
 type heard struct {
 	net.Conn
-	last atomic.Int64 // UnixNano of the last read that brought bytes; 0: none yet
+	last    atomic.Int64 // UnixNano of the last read that brought bytes; 0: none yet
+	lengths atomic.Int64
+	at      int // of lengthName, how much of the line that is coming matches; -1: this line does not
 }
 
-// Read implements net.Conn.
+// lengthName is what a line begins with that says a body's length, in lower case.
+const lengthName = "content-length:"
+
+// Read implements net.Conn. One goroutine reads a connection at a time.
 func (h *heard) Read(p []byte) (int, error) {
 	n, err := h.Conn.Read(p)
 	if n > 0 {
 		h.last.Store(time.Now().UnixNano())
+		h.scan(p[:n])
 	}
 	return n, err
 }
 
+// scan counts the lines that begin with Content-Length, however the bytes are cut.
+func (h *heard) scan(p []byte) {
+	for len(p) > 0 {
+		if h.at < 0 {
+			end := bytes.IndexByte(p, '\n')
+			if end < 0 {
+				return
+			}
+			p, h.at = p[end+1:], 0
+			continue
+		}
+		c := p[0]
+		if c >= 'A' && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		switch {
+		case c == '\n': // an empty or short line: the next one begins behind it
+			h.at = 0
+		case c != lengthName[h.at]:
+			h.at = -1
+		case h.at == len(lengthName)-1:
+			h.lengths.Add(1)
+			h.at = -1
+		default:
+			h.at++
+		}
+		p = p[1:]
+	}
+}
+
 // lastByte is when a connection last sent something, or when it came if it has not yet.
 func lastByte(c net.Conn, since time.Time) time.Time {
 	if h, ok := c.(*heard); ok {
@@ -287,14 +327,26 @@
 	return n, err
 }
 
-// misframed is the status for a request whose body is turned away unread, 0 for others. Chunked ones are:
-// net/http drops a Content-Length that came besides, so nobody could tell whether the body hides another
-// request. Good clients say how long their bodies are.
+// misframed is the status for a request whose body is turned away unread, 0 for others. A request that says
+// both how long its body is and that it comes in chunks may hide another in it (RFC 9112, 6.1). net/http drops
+// the Content-Length of such a one, so it is told by the raw lines: a chunked request is taken only where each
+// line on its connection that began so belongs to a request that said its length and nothing else. A request
+// that a client sends ahead behind a chunked one, and a body with such a line, are turned away with it.
 func misframed(r *http.Request) int {
-	switch {
-	case r.ContentLength < 0:
-		return http.StatusLengthRequired
-	case r.ContentLength > maxBody:
+	k, ok := r.Context().Value(connKey{}).(*conn)
+	if r.ContentLength < 0 {
+		if !ok || k.heard == nil {
+			return http.StatusLengthRequired // nobody can tell
+		}
+		if k.heard.lengths.Load() > k.lengths {
+			return http.StatusBadRequest
+		}
+		return 0
+	}
+	if ok {
+		k.lengths += int64(len(r.Header["Content-Length"]))
+	}
+	if r.ContentLength > maxBody {
 		return http.StatusRequestEntityTooLarge
 	}
 	return 0
