Put the command line on cobra and all logs on slog, and add call for operators' calls

Bare run is unchanged in what it does; flags keep their one dash, since deploy files and scripts say -config.

Change: commands.go builds the command line on spf13/cobra; every log line is log/slog's key=value with the event's name under event, written by one handler in cmd. rampspread call makes an operator's call, so that nobody needs nc.

Checked: the command line's tests (old words and new), reload and drain through the processes.

--- /dev/null
+++ b/cmd/rampspread/commands.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"rampspread/internal/chat"
+	"rampspread/internal/wire"
+)
+
+// words lets a long flag stand behind one dash, as it did before the command line had cobra: deploy files and
+// operators' scripts say -config. There are no flags of one letter but -h.
+func words(args []string) []string {
+	out := []string{} // not nil, for which cobra would take the process's own
+	for i, a := range args {
+		if a == "--" {
+			return append(out, args[i:]...)
+		}
+		if len(a) > 2 && a[0] == '-' && a[1] != '-' {
+			a = "-" + a
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// commands is the command line. The bare program is the same as its sub-command serve.
+func commands(on signals, out io.Writer) *cobra.Command {
+	root := &cobra.Command{Use: "rampspread", Short: "A control service for LLM traffic",
+		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+	root.SetOut(out)
+	root.SetErr(out)
+	serving := serveCommand(on, out)
+	root.Args, root.RunE = func(_ *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return fmt.Errorf("unknown sub-command %q: see rampspread -h", args[0])
+		}
+		return nil
+	}, serving.RunE
+	root.Flags().AddFlagSet(serving.Flags())
+	root.AddCommand(serving, checkCommand(out), importCommand(out), callCommand(out),
+		&cobra.Command{Use: "version", Short: "Print the program's version", Args: noWords, Run: func(*cobra.Command, []string) {
+			fmt.Fprintln(out, "rampspread", version)
+		}})
+	return root
+}
+
+// noWords refuses words behind a sub-command's flags.
+func noWords(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("unexpected %q", args[0])
+	}
+	return nil
+}
+
+// files are the paths of the files that a dispatcher starts with.
+type files struct{ config, chat string }
+
+func (f *files) flags(c *cobra.Command) {
+	c.Flags().StringVar(&f.config, "config", os.Getenv("LB_CONFIG"), "the configuration `file`")
+	c.Flags().StringVar(&f.chat, "chat", "", "the chat front's `file`, such as deploy/chat.json; none: no chat front")
+}
+
+// read reads and checks them all.
+func (f *files) read() (*wire.Config, *chat.Config, error) {
+	cfg, err := load(f.config)
+	if err != nil {
+		return nil, nil, err
+	}
+	chatCfg, err := loadChat(f.chat, &cfg.Settings)
+	return cfg, chatCfg, err
+}
+
+func serveCommand(on signals, out io.Writer) *cobra.Command {
+	var f files
+	var o options
+	c := &cobra.Command{Use: "serve", Short: "Run one dispatcher", Args: noWords, RunE: func(c *cobra.Command, _ []string) error {
+		cfg, chatCfg, err := f.read()
+		if err != nil {
+			return err
+		}
+		o.config = f.config
+		return serve(c.Context(), cfg, chatCfg, o, on, out)
+	}}
+	f.flags(c)
+	c.Flags().StringVar(&o.xdsAddr, "xds", "", "the `address` at which other proxies get the list by xDS; none: no xDS")
+	return c
+}
+
+func checkCommand(out io.Writer) *cobra.Command {
+	var f files
+	c := &cobra.Command{Use: "check", Short: "Check the files and end", Args: noWords, RunE: func(*cobra.Command, []string) error {
+		cfg, chatCfg, err := f.read()
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: good: %d classes, %d kinds, listens on %s, chat %t\n", f.config,
+			len(cfg.Settings.Classes), len(cfg.Settings.Kinds), cfg.Listen, chatCfg != nil)
+		return nil
+	}}
+	f.flags(c)
+	return c
+}
+
+func importCommand(out io.Writer) *cobra.Command {
+	var o importOptions
+	c := &cobra.Command{Use: "import", Short: "Turn an Apache balancer or mod_jk worker file into discovery's list",
+		Args: noWords, RunE: func(*cobra.Command, []string) error { return importList(o, out) }}
+	c.Flags().StringVar(&o.from, "from", "", "the Apache balancer or mod_jk worker `file`")
+	c.Flags().StringVar(&o.zone, "zone", "", "the `zone` of all members")
+	c.Flags().IntVar(&o.port, "port", 0, "the `port` of all members; 0: as in the file")
+	return c
+}
+
+// callWait is how long an operator's call may take; the answer is owed within 1 s.
+const callWait = 2 * time.Second
+
+// callCommand makes one operator's call (docs/ONCALL.md) and prints its answer; FAILURE is an error.
+func callCommand(out io.Writer) *cobra.Command {
+	var at string
+	c := &cobra.Command{Use: "call CALL", Short: "Make an operator's call, such as check, drain-on or drain-off",
+		Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+			conn, err := net.DialTimeout("tcp", at, callWait)
+			if err != nil {
+				return fmt.Errorf("call: %w", err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(callWait))
+			if _, err := fmt.Fprintln(conn, args[0]); err != nil {
+				return fmt.Errorf("call: %w", err)
+			}
+			answer, err := bufio.NewReader(conn).ReadString('\n')
+			if err != nil {
+				return fmt.Errorf("call: %w", err)
+			}
+			answer = strings.TrimSpace(answer)
+			if !strings.HasPrefix(answer, "SUCCESS") {
+				return errors.New(answer)
+			}
+			fmt.Fprintln(out, answer)
+			return nil
+		}}
+	c.Flags().StringVar(&at, "at", "127.0.0.1:9600", "the program's ops `address`")
+	return c
+}
--- a/cmd/rampspread/main_test.go
+++ b/cmd/rampspread/main_test.go
@@ -38,8 +38,7 @@
 	return o.buf.String()
 }
 
-// freeAddr is an address that nobody listens on.
-// freeAddr is on a loopback address of this process's own: on 127.0.0.1 the tests of other packages, which run
+// freeAddr is an address that nobody listens on. It is on a loopback address of this process's own: on 127.0.0.1 the tests of other packages, which run
 // beside these, could take the port before the program does.
 func freeAddr(t *testing.T) string {
 	t.Helper()
@@ -80,7 +79,7 @@
 		{"version", "rampspread 0"},
 		{"check -config " + good, "good: 2 classes"},
 		{"check -config " + good + " -chat " + chat, "chat true"},
-		{"check -h", "!help"},
+		{"check -h", "--config"},
 		{"import -zone wien -from " + file(t, "apache.conf", "BalancerMember balancer://prefill http://10.1.0.1:9000 status=+D\n"),
 			`"hostPort": "10.1.0.1:9000"`},
 		{"import -port 9100 -from " + file(t, "workers.properties", "worker.list=prefill\nworker.prefill.host=h\n"), `"h:9100"`},
@@ -88,7 +87,9 @@
 		{"import", "!no such file"},
 		{"fly", "!unknown sub-command"},
 		{"version now", "!unexpected"},
-		{"serve -speed 3", "!not defined"},
+		{"serve -speed 3", "!unknown flag"},
+		{"call", "!accepts 1 arg"},
+		{"call -at 127.0.0.1:1 check", "!refused"},
 		{"", "!no configuration"},
 		{"serve -config /nowhere", "!no such file"},
 		{"check -config " + good + " -chat " + good, "!chat: no models"},
--- a/cmd/rampspread/ops_test.go
+++ b/cmd/rampspread/ops_test.go
@@ -1,10 +1,10 @@
 package main
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -17,21 +17,14 @@
 	"rampspread/internal/testkit"
 )
 
-// call makes one operator's call and returns its answer line.
+// call makes one operator's call by the command line and returns its answer line.
 func call(t *testing.T, addr, line string) string {
 	t.Helper()
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(5 * time.Second))
-	fmt.Fprintln(c, line)
-	answer, err := bufio.NewReader(c).ReadString('\n')
-	if err != nil {
-		t.Fatalf("%s: %v", line, err)
+	var out bytes.Buffer
+	if err := run(context.Background(), []string{"call", "-at", addr, line}, signals{}, &out); err != nil {
+		return err.Error()
 	}
-	return strings.TrimSpace(answer)
+	return strings.TrimSpace(out.String())
 }
 
 func healthz(t *testing.T, listen string) int {
@@ -57,8 +50,8 @@
 	ctx, term := context.WithCancel(context.Background())
 	defer term()
 	reload, out, ended := make(chan os.Signal), &output{}, make(chan error, 1)
-	log.SetOutput(out) // the events of the program, which this test reads
-	defer log.SetOutput(os.Stderr)
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(logHandler(out))) // the events of the program, which this test reads
 	go func() {
 		ended <- run(ctx, []string{"serve"}, signals{print: make(chan os.Signal), reload: reload}, out)
 	}()
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"log/slog"
 	"maps"
 	"net"
@@ -212,7 +211,7 @@
 		go calls.Serve(listener)
 		defer calls.Close()
 	}
-	log.Printf("event=serving name=%s listen=%s chat=%t ops=%s", cfg.Name, cfg.Listen, p.chat != nil, cfg.Ops)
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "chat", p.chat != nil, "ops", cfg.Ops)
 	for done := false; !done; {
 		select {
 		case err := <-failed:
@@ -245,26 +244,22 @@
 		err = p.core.Retune(ctx, next.Config)
 	}
 	if err != nil {
-		log.Printf("event=reload_failed err=%q", err)
+		slog.Warn("reload_failed", "err", err)
 		return
 	}
 	p.classes = next
 	p.front.SetClasses(next.Names)
 	names := slices.Sorted(maps.Keys(next.Names))
-	log.Printf("event=reloaded discovery=%s classes=%s attempts=%d", cfg.Discovery, strings.Join(names, ","),
-		next.Config.MaxAttempts)
+	slog.Info("reloaded", "discovery", cfg.Discovery, "classes", strings.Join(names, ","), "attempts", next.Config.MaxAttempts)
 	p.watch.Move(cfg.Discovery)
 }
 
 // listen starts a front on its address, with room for so many connections.
 func (p *program) listen(addr string, front http.Handler, conns int, failed chan<- error) error {
-	listener, shared, err := clients.Listen(context.Background(), addr)
+	listener, _, err := clients.Listen(context.Background(), addr)
 	if err != nil {
 		return err
 	}
-	if !shared {
-		log.Printf("event=listen_alone addr=%s", addr)
-	}
 	server := &http.Server{}
 	guard := clients.NewGuard(front, p.bodies, &p.state)
 	guard.Attach(server)
@@ -280,7 +275,7 @@
 // drain ends in good order. New connections still come for a while: they are taken, and each answer is the
 // last on its connection. Idle connections close next, and the listeners last.
 func (p *program) drain() error {
-	log.Printf("event=draining")
+	slog.Info("draining")
 	p.state.Stopping.Store(true)
 	time.Sleep(lameDuck)
 	for _, s := range p.servers {
@@ -320,7 +315,7 @@
 	if p.state.Held.Swap(true) {
 		return true, "draining already"
 	}
-	log.Printf("event=drain_on")
+	slog.Info("drain_on")
 	for _, s := range p.servers {
 		s.SetKeepAlivesEnabled(false) // closes the idle, and each answer from now on is the last on its connection
 	}
@@ -345,7 +340,7 @@
 	if !p.state.Held.Swap(false) {
 		return true, "serving already"
 	}
-	log.Printf("event=drain_off")
+	slog.Info("drain_off")
 	for _, s := range p.servers {
 		s.SetKeepAlivesEnabled(true)
 	}
--- a/internal/chat/chat.go
+++ b/internal/chat/chat.go
@@ -12,7 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"math"
 	"net/http"
 	"strconv"
@@ -99,7 +99,7 @@
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	text, err := json.Marshal(v)
 	if err != nil {
-		log.Printf("event=encode_failed err=%q", err)
+		slog.Warn("encode_failed", "err", err)
 		status, text = http.StatusInternalServerError, (&apiError{Message: "internal error", Type: "server_error"}).body()
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -338,7 +338,7 @@
 		f.fail(out.w, j, e)
 		return
 	}
-	log.Printf("event=chat_stream_broken id=%s err=%q", j.req.Call.ID, err)
+	slog.Warn("chat_stream_broken", "id", j.req.Call.ID, "err", err)
 	out.write(append(append([]byte("data: "), e.body()...), "\n\n"...))
 	panic(http.ErrAbortHandler)
 }
@@ -416,7 +416,7 @@
 func (s *sink) put(all map[string]json.RawMessage, name string, v any) {
 	text, err := json.Marshal(v)
 	if err != nil {
-		log.Printf("event=encode_failed err=%q", err)
+		slog.Warn("encode_failed", "err", err)
 		return
 	}
 	all[name] = text
@@ -430,7 +430,7 @@
 func (s *sink) data(v any) {
 	text, err := json.Marshal(v)
 	if err != nil {
-		log.Printf("event=encode_failed err=%q", err)
+		slog.Warn("encode_failed", "err", err)
 		return
 	}
 	s.write(append(append([]byte("data: "), text...), "\n\n"...))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,7 +10,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"log"
+	"log/slog"
 	"time"
 
 	"rampspread/decide"
@@ -353,7 +353,7 @@
 // reply gives the one final answer; the channel has room for it.
 func (c *Core) reply(q *request, a Answer) {
 	if a.Kind != Served {
-		log.Printf("event=unserved id=%s kind=%d left=%v attempts=%d", q.Call.ID, a.Kind, q.deadline-c.now(), len(q.attempts))
+		slog.Info("unserved", "id", q.Call.ID, "kind", a.Kind, "left", q.deadline-c.now(), "attempts", len(q.attempts))
 	}
 	q.answer <- a
 	q.answer = nil
@@ -425,7 +425,7 @@
 	case decide.Wake:
 		time.AfterFunc(a.After, func() { c.post(func() { c.handle(decide.Timer{ID: a.ID}) }) })
 	default:
-		log.Printf("event=unknown_action type=%T", a)
+		slog.Warn("unknown_action", "type", fmt.Sprintf("%T", a))
 	}
 }
 
@@ -529,8 +529,8 @@
 	switch o.Outcome {
 	case decide.Served, decide.ReadDone, decide.Full:
 	default:
-		log.Printf("event=attempt_lost id=%s attempt=%d server=%s outcome=%s after=%v first=%t", q.Call.ID, a.number,
-			a.name(), outcomeName(o.Outcome), c.now()-a.sent, a.first)
+		slog.Info("attempt_lost", "id", q.Call.ID, "attempt", a.number, "server", a.name(),
+			"outcome", outcomeName(o.Outcome), "after", c.now()-a.sent, "first", a.first)
 	}
 	if a.first && o.Outcome != decide.Served {
 		c.counters.Broken++
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,7 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -107,7 +107,7 @@
 		e, err := w.entry(raw)
 		if err != nil {
 			w.bad.Add(1)
-			log.Printf("event=bad_entry err=%q", err)
+			slog.Warn("bad_entry", "err", err)
 			continue
 		}
 		out = append(out, e)
@@ -155,7 +155,7 @@
 			return
 		}
 		pause := w.backoff.next()
-		log.Printf("event=discovery_lost addr=%s pause=%v err=%q", addr, pause, err)
+		slog.Info("discovery_lost", "addr", addr, "pause", pause, "err", err)
 		w.pause(ctx, moved, pause)
 	}
 }
@@ -246,7 +246,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	log.Printf("event=watching addr=%s version=%d", addr, w.version.Load())
+	slog.Info("watching", "addr", addr, "version", w.version.Load())
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxLine)
 	for lines.Scan() {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -8,7 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -163,8 +163,8 @@
 	if err != nil {
 		a.cancel()
 		o := x.lost()
-		log.Printf("event=call_failed id=%s server=%s outcome=%d idle=%v err=%q", call.ID, to.Name, o,
-			time.Duration(x.idle.Load()), err)
+		slog.Info("call_failed", "id", call.ID, "server", to.Name, "outcome", o,
+			"idle", time.Duration(x.idle.Load()), "err", err)
 		ev.Ended(core.Outcome{Outcome: o, Begun: x.begun.Load()})
 		return
 	}
@@ -334,7 +334,7 @@
 	case http.StatusInternalServerError:
 	default:
 		p.bad.Add(1)
-		log.Printf("event=unknown_answer status=%d", resp.StatusCode)
+		slog.Warn("unknown_answer", "status", resp.StatusCode)
 	}
 	return o
 }
@@ -374,7 +374,7 @@
 	go func() {
 		l, err := p.probe(to, limit)
 		if err != nil {
-			log.Printf("event=probe_failed server=%s err=%q", to.Name, err)
+			slog.Warn("probe_failed", "server", to.Name, "err", err)
 		}
 		told(l)
 	}()
@@ -417,7 +417,7 @@
 				return
 			}
 		}
-		log.Printf("event=release_failed id=%s", call.ID)
+		slog.Warn("release_failed", "id", call.ID)
 	}()
 }
 
--- a/internal/servers/stream.go
+++ b/internal/servers/stream.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net/http"
 	"strings"
 	"time"
@@ -54,7 +54,7 @@
 	if len(s.events) == 0 {
 		resp.Body.Close()
 		a.cancel()
-		log.Printf("event=no_first_event id=%s err=%q", a.id, s.err)
+		slog.Warn("no_first_event", "id", a.id, "err", s.err)
 		ev.Ended(core.Outcome{Outcome: decide.Reset, Begun: true}) // it may have run
 		return
 	}
@@ -169,7 +169,7 @@
 		o.Outcome = decide.Served
 		o.Kept, o.Load = s.attempt.pool.usage(s.tail)
 	} else if s.err != nil {
-		log.Printf("event=stream_broken id=%s err=%q", s.attempt.id, s.err)
+		slog.Warn("stream_broken", "id", s.attempt.id, "err", s.err)
 	}
 	s.ev.Ended(o)
 }
--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -6,7 +6,7 @@
 	"cmp"
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"slices"
 	"strconv"
@@ -96,7 +96,7 @@
 		err = s.cache.SetSnapshot(context.Background(), everyone, snapshot)
 	}
 	if err != nil {
-		log.Printf("event=xds_failed err=%q", err)
+		slog.Warn("xds_failed", "err", err)
 	}
 }
 
