Make the example serve: its watch brings the list, and a known list of no replica is none

Cause: bin/toy's watch never sent the list, and config.json's known list of no replica counted as held, so the program watched from version 0, was told nothing, and answered every request 429 with servers=0. The protocol says that a watch brings the changes after a version, or else the whole list.

Ruled out: asking for the list whenever a watch stays without one, since a watch at which nothing changes does so too. Change: the toy answers a watch from another version with the whole list; a whole list without a replica leaves the watcher without one, so it asks first (TestEmptyKnownListIsNone).

--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -38,19 +38,26 @@
 	state map[string]bool
 }
 
+// version is the one version of the list.
+const version = "1"
+
 func newToy(reader, writer string) *toy {
 	entry := func(id, addr, kind string) string {
 		return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"wien-nord","machineType":%q,"cell":0,`+
 			`"lifecycle":"ready","weight":1.0,"startedAtMs":0}`, id, addr, kind)
 	}
-	return &toy{state: map[string]bool{}, text: fmt.Sprintf(`{"generation":1,"reset":true,"instances":[%s,%s]}`,
+	return &toy{state: map[string]bool{}, text: fmt.Sprintf(`{"generation":`+version+`,"reset":true,"instances":[%s,%s]}`,
 		entry("reader", reader, "prefill"), entry("writer", writer, "decode-a"))}
 }
 
-// list is discovery: the whole list, or a watch in which nothing changes.
+// list is discovery: the whole list, or a watch. A watch from another version than the list's brings the whole list
+// first, as the protocol has it; nothing changes after that, so empty lines follow.
 func (t *toy) list(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get("stream") == "" {
+	q := r.URL.Query()
+	if q.Get("stream") == "" || q.Get("index") != version {
 		io.WriteString(w, t.text+"\n")
+	}
+	if q.Get("stream") == "" {
 		return
 	}
 	for r.Context().Err() == nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -114,7 +114,8 @@
 	}
 	w.apply(full, out)
 	w.version.Store(l.Generation)
-	w.stale.Store(len(out) < len(l.Instances) || !full && w.stale.Load())
+	// A whole list without a replica is none to go on from: a watch that starts at its version may never say more.
+	w.stale.Store(len(out) < len(l.Instances) || full && len(out) == 0 || !full && w.stale.Load())
 }
 
 func (w *Watcher) entry(raw json.RawMessage) (core.Listing, error) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -161,3 +161,31 @@
 		}
 	})
 }
+
+// A dispatcher that starts with a list of no replica asks for the whole one, since a watch from that list's version
+// may stay without a word; with a replica on its list it only watches.
+func TestEmptyKnownListIsNone(t *testing.T) {
+	for known, want := range map[string]string{
+		list(3, true):                       "",
+		list(3, true, entry("s1", "ready")): "stream=1&index=3",
+	} {
+		a := &agent{whole: list(41, true, entry("s1", "ready"))}
+		s := httptest.NewServer(a)
+		w := discovery.New(s.Listener.Addr().String(), testkit.Settings(t), 1, func(bool, []core.Listing) {})
+		var l discovery.List
+		if err := json.Unmarshal([]byte(known), &l); err != nil {
+			t.Fatal(err)
+		}
+		w.Apply(l, true)
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); w.Run(ctx) }()
+		testkit.Eventually(t, "the first call", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return len(a.queries) > 0 })
+		stop()
+		<-done
+		s.Close()
+		if a.queries[0] != want {
+			t.Errorf("with %s the first call was %q", known, a.queries[0])
+		}
+	}
+}
