--- /dev/null
+++ b/internal/rig/fault/fault_test.go
@@ -0,0 +1,167 @@
+package fault_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"rampspread/internal/rig/fault"
+)
+
+func own(t *testing.T, host, port int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 192+pid>>15&31, pid>>7&255, 1+host, port)
+}
+
+// echo answers each line on a link until the test ends.
+func echo(t *testing.T, addr string, l *fault.Link) *fault.Listener {
+	t.Helper()
+	s, err := fault.Listen(addr, l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	go func() {
+		for {
+			c, err := s.Accept()
+			if err != nil {
+				return
+			}
+			go func() { io.Copy(c, c); c.Close() }()
+		}
+	}()
+	return s
+}
+
+func ask(c net.Conn, wait time.Duration) error {
+	c.SetDeadline(time.Now().Add(wait))
+	if _, err := c.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := c.Read(make([]byte, 1))
+	return err
+}
+
+// A cut holds back what is under way and lets no connection come up; its end lets both go on.
+func TestCutAndHeal(t *testing.T) {
+	addr, l := own(t, 0, 4001), fault.NewLink(1)
+	echo(t, addr, l)
+	c, err := net.Dial("tcp", addr)
+	if err != nil || ask(c, 5*time.Second) != nil {
+		t.Fatal("a sound link does not answer", err)
+	}
+	for _, way := range [][2]fault.Condition{{{Cut: true}, {}}, {{}, {Cut: true}}} {
+		l.Set(way[0], way[1])
+		if err := ask(c, 100*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%v: an open connection over a cut: %v", way, err)
+		}
+		if _, err := net.DialTimeout("tcp", addr, 100*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%v: a new connection over a cut: %v", way, err)
+		}
+		l.Set(fault.Condition{}, fault.Condition{})
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Errorf("%v: what was held back did not come: %v", way, err)
+		}
+		d, err := net.DialTimeout("tcp", addr, 5*time.Second)
+		if err != nil || ask(d, 5*time.Second) != nil {
+			t.Errorf("%v: after the cut: %v", way, err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	l.Set(fault.Condition{Cut: true}, fault.Condition{})
+	if _, err := fault.Dial(ctx, addr, l); err == nil {
+		t.Error("a call from this side came up over a cut")
+	}
+}
+
+func TestDelayDownAndReset(t *testing.T) {
+	addr, l := own(t, 1, 4002), fault.NewLink(1)
+	s := echo(t, addr, l)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Set(fault.Condition{}, fault.Condition{Delay: 80 * time.Millisecond})
+	start := time.Now()
+	if err := ask(c, 5*time.Second); err != nil || time.Since(start) < 80*time.Millisecond {
+		t.Errorf("a late link answered after %v, %v", time.Since(start), err)
+	}
+	l.Set(fault.Condition{BytesPerS: 10}, fault.Condition{})
+	if start = time.Now(); ask(c, 5*time.Second) != nil || time.Since(start) < 100*time.Millisecond {
+		t.Errorf("a slow link took %v for a byte", time.Since(start))
+	}
+	l.Set(fault.Condition{}, fault.Condition{})
+	if err := s.SetDown(true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := net.DialTimeout("tcp", addr, time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a party that is down: %v", err)
+	}
+	l.Reset()
+	if err := ask(c, 5*time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a reset connection: %v", err)
+	}
+	if err := s.SetDown(false); err != nil {
+		t.Fatal(err)
+	}
+	if c, err = net.Dial("tcp", addr); err != nil || ask(c, 5*time.Second) != nil {
+		t.Errorf("back again: %v", err)
+	}
+}
+
+// A relay tells senders apart by their source: one's cut does not stop another, nor the other direction.
+func TestRelay(t *testing.T) {
+	good, bad := fault.NewLink(1), fault.NewLink(2)
+	at, to := own(t, 2, 4003), own(t, 3, 4003)
+	sender := func(host int) net.IP { ip, _, _ := net.SplitHostPort(own(t, host, 1)); return net.ParseIP(ip) }
+	r, err := fault.NewRelay(at, to, func(from net.IP) *fault.Link {
+		switch {
+		case from.Equal(sender(4)):
+			return good
+		case from.Equal(sender(5)):
+			return bad
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	echo(t, to, fault.NewLink(3))
+	packets, err := net.ListenPacket("udp4", to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer packets.Close()
+	bad.Set(fault.Condition{Cut: true}, fault.Condition{})
+	for _, host := range []int{5, 6, 4} { // the last one's datagram is the only one that comes
+		u, err := net.ListenPacket("udp4", sender(host).String()+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer u.Close()
+		dst, _ := net.ResolveUDPAddr("udp4", at)
+		u.WriteTo([]byte{byte(host)}, dst)
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: sender(host)}}
+		c, err := d.Dial("tcp4", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if err := ask(c, 200*time.Millisecond); (err == nil) != (host == 4) {
+			t.Errorf("sender %d over TCP: %v", host, err)
+		}
+	}
+	buf := make([]byte, 9)
+	packets.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, _, err := packets.ReadFrom(buf); err != nil || n != 1 || buf[0] != 4 {
+		t.Errorf("got %v, %v", buf[:n], err)
+	}
+}
--- /dev/null
+++ b/internal/rig/fault/listen.go
@@ -0,0 +1,190 @@
+package fault
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Listener accepts the calls of one link at an address. While the link is cut, new connections never come up:
+// the address is then held by a socket whose queue is full, so that the kernel drops what arrives. While
+// the party is down they are refused.
+type Listener struct {
+	addr  *net.TCPAddr
+	link  *Link
+	conns chan net.Conn
+	done  chan struct{}
+
+	mu    sync.Mutex
+	open  net.Listener
+	hole  []net.Conn // the full socket's own callers
+	pit   *os.File   // the full socket
+	cut   bool
+	down  bool
+	ended bool
+}
+
+// Listen opens an address for the calls of one link.
+func Listen(addr string, l *Link) (*Listener, error) {
+	at, err := net.ResolveTCPAddr("tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("fault: %w", err)
+	}
+	out := &Listener{addr: at, link: l, conns: make(chan net.Conn), done: make(chan struct{})}
+	if err := out.adjust(); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	l.listeners = append(l.listeners, out.setCut)
+	l.mu.Unlock()
+	return out, nil
+}
+
+func (l *Listener) setCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+	l.adjust() // a listener that cannot come back shows as refused calls
+}
+
+// SetDown makes calls be refused, or accepted again. Connections that are open stay.
+func (l *Listener) SetDown(down bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+	return l.adjust()
+}
+
+// adjust brings the sockets into line with what is wanted; the caller holds the lock (or is alone).
+func (l *Listener) adjust() error {
+	wantHole := l.cut && !l.ended
+	wantOpen := !l.cut && !l.down && !l.ended
+	if !wantHole && l.pit != nil {
+		for _, c := range l.hole {
+			c.Close()
+		}
+		l.pit.Close()
+		l.hole, l.pit = nil, nil
+	}
+	if !wantOpen && l.open != nil {
+		l.open.Close()
+		l.open = nil
+	}
+	if wantHole && l.pit == nil {
+		if err := l.dig(); err != nil {
+			return fmt.Errorf("fault: %w", err)
+		}
+	}
+	if wantOpen && l.open == nil {
+		inner, err := retryBusy(func() (net.Listener, error) { return net.Listen("tcp4", l.addr.String()) })
+		if err != nil {
+			return fmt.Errorf("fault: %w", err)
+		}
+		l.open = inner
+		go l.accept(inner)
+	}
+	return nil
+}
+
+// retryBusy tries again for a while where a socket that was just closed still holds the address.
+func retryBusy[T any](f func() (T, error)) (T, error) {
+	for n := 0; ; n++ {
+		out, err := f()
+		if err == nil || n == 50 || !errors.Is(err, syscall.EADDRINUSE) {
+			return out, err
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// dig opens a listening socket with room for one connection and takes that room itself.
+func (l *Listener) dig() error {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fmt.Errorf("socket: %w", err)
+	}
+	pit := os.NewFile(uintptr(fd), "pit")
+	at := &unix.SockaddrInet4{Port: l.addr.Port, Addr: [4]byte(l.addr.IP.To4())}
+	_, err = retryBusy(func() (struct{}, error) {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+			return struct{}{}, err
+		}
+		return struct{}{}, unix.Bind(fd, at)
+	})
+	if err == nil {
+		err = unix.Listen(fd, 0)
+	}
+	if err != nil {
+		pit.Close()
+		return fmt.Errorf("full socket: %w", err)
+	}
+	l.pit = pit
+	for range 2 { // the first fills the queue; the second shows that it is full
+		c, err := net.DialTimeout("tcp4", l.addr.String(), 20*time.Millisecond)
+		if err != nil {
+			break
+		}
+		l.hole = append(l.hole, c)
+	}
+	return nil
+}
+
+func (l *Listener) accept(inner net.Listener) {
+	for {
+		c, err := inner.Accept()
+		if err != nil {
+			return
+		}
+		select {
+		case l.conns <- Wrap(c, l.link, false):
+		case <-l.done:
+			c.Close()
+			return
+		}
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return nil
+	}
+	l.ended = true
+	close(l.done)
+	return l.adjust()
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return l.addr }
+
+// Dial calls an address over a link from the rig's side; on a cut link the call never comes up.
+func Dial(ctx context.Context, addr string, l *Link) (*Conn, error) {
+	if _, cut, _ := l.hold(true, 0); cut {
+		<-ctx.Done()
+		return nil, fmt.Errorf("fault: %w", ctx.Err())
+	}
+	c, err := new(net.Dialer).DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err // the caller tells errors apart by their type
+	}
+	return Wrap(c, l, true), nil
+}
--- /dev/null
+++ b/internal/rig/fault/relay.go
@@ -0,0 +1,126 @@
+package fault
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Relay stands before one receiver of a group of peers that talk by UDP and TCP: its address is the one
+// that the receiver tells others. Who sends is told by the source address, so each peer must send from an address of its
+// own. Link names the link from a sender to this receiver.
+type Relay struct {
+	to   string // the receiver's own address
+	link func(sender net.IP) *Link
+	udp  net.PacketConn
+	tcp  net.Listener
+	done chan struct{}
+	wg   sync.WaitGroup
+}
+
+const dialWait = 2 * time.Second
+
+// NewRelay listens at addr on UDP and TCP and hands on to the receiver at to. Senders without a link (nil) are
+// turned away.
+func NewRelay(addr, to string, link func(sender net.IP) *Link) (*Relay, error) {
+	udp, err := net.ListenPacket("udp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	tcp, err := net.Listen("tcp4", addr)
+	if err != nil {
+		udp.Close()
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	r := &Relay{to: to, link: link, udp: udp, tcp: tcp, done: make(chan struct{})}
+	r.wg.Go(r.packets)
+	r.wg.Go(r.streams)
+	return r, nil
+}
+
+// Close ends the relay and waits for its goroutines.
+func (r *Relay) Close() {
+	close(r.done)
+	r.udp.Close()
+	r.tcp.Close()
+	r.wg.Wait()
+}
+
+func (r *Relay) packets() {
+	to, err := net.ResolveUDPAddr("udp4", r.to)
+	if err != nil {
+		return
+	}
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := r.udp.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an earlier datagram's receiver was not there
+		}
+		l := r.link(from.(*net.UDPAddr).IP)
+		if l == nil {
+			continue
+		}
+		lost, late := l.Lose()
+		if lost {
+			continue
+		}
+		if late <= 0 {
+			r.udp.WriteTo(buf[:n], to)
+			continue
+		}
+		data := append([]byte(nil), buf[:n]...)
+		time.AfterFunc(late, func() { r.udp.WriteTo(data, to) })
+	}
+}
+
+func (r *Relay) streams() {
+	for {
+		c, err := r.tcp.Accept()
+		if err != nil {
+			return
+		}
+		l := r.link(c.RemoteAddr().(*net.TCPAddr).IP)
+		if l == nil {
+			c.Close()
+			continue
+		}
+		r.wg.Go(func() { r.stream(Wrap(c, l, false)) })
+	}
+}
+
+func (r *Relay) stream(in *Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialWait)
+	defer cancel()
+	out, err := new(net.Dialer).DialContext(ctx, "tcp4", r.to)
+	if err != nil {
+		in.Abort()
+		return
+	}
+	end := make(chan struct{})
+	var once sync.Once
+	stop := func() { once.Do(func() { close(end) }) }
+	go func() {
+		io.Copy(out, in)
+		out.(*net.TCPConn).CloseWrite()
+	}()
+	go func() {
+		io.Copy(in, out)
+		stop()
+	}()
+	select {
+	case <-end:
+		in.Close()
+	case <-in.done:
+	case <-r.done:
+		in.Abort()
+	}
+	out.Close()
+}
--- /dev/null
+++ b/internal/rig/history/check.go
@@ -0,0 +1,253 @@
+package history
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Rules are the figures that the checker holds a history to; the platform's settings have them.
+type Rules struct {
+	AnswerSlack  time.Duration // beyond a client's deadline
+	DrainWithin  time.Duration // from the news of a drain to the last new request's first byte
+	ReleaseAfter time.Duration // what is held, counted from the end of the last attempt
+	FallMultiple float64       // a cold replica bears so many times its present capacity,
+	FallSpan     time.Duration // over any such span
+	ColdFrom     float64       // the part of its capacity that it starts with
+	Unsafe       []string      // classes that must not run twice
+	// Slack is added to each time: the processes share the machine with the rig.
+	Slack time.Duration
+}
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule    string        `json:"rule"`
+	At      time.Duration `json:"at"`
+	Request string        `json:"request,omitempty"`
+	Replica string        `json:"replica,omitempty"`
+	Text    string        `json:"text"`
+}
+
+// String is the breach in one line.
+func (b Breach) String() string {
+	return fmt.Sprintf("rule=%s at=%v request=%s replica=%s %s", b.Rule, b.At.Round(time.Millisecond), b.Request, b.Replica, b.Text)
+}
+
+// The names of the rules.
+const (
+	OneAnswer = "one_answer"
+	NoSecond  = "no_second_run"
+	Drains    = "drains"
+	ColdRule  = "cold"
+	Pinned    = "pinned"
+)
+
+// Check is every breach in a history, by time.
+func Check(events []Event, r Rules) []Breach {
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	c := checker{rules: r, events: events, down: map[int][]Event{}}
+	for _, e := range events {
+		if e.Kind == Down {
+			c.down[e.Dispatcher] = append(c.down[e.Dispatcher], e)
+		}
+	}
+	c.answers()
+	c.runs()
+	c.drains()
+	c.cold()
+	c.pinned()
+	slices.SortStableFunc(c.out, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
+	return c.out
+}
+
+type checker struct {
+	rules  Rules
+	events []Event
+	down   map[int][]Event
+	out    []Breach
+}
+
+func (c *checker) breach(rule string, e Event, format string, args ...any) {
+	c.out = append(c.out, Breach{rule, e.At, e.Request, e.Replica, fmt.Sprintf(format, args...)})
+}
+
+// blameless tells whether a process was down or paused at any time of a span.
+func (c *checker) blameless(dispatcher int, from, to time.Duration) bool {
+	for _, d := range c.down[dispatcher] {
+		if d.At <= to && (d.Until == 0 || d.Until >= from) {
+			return true
+		}
+	}
+	return false
+}
+
+// answers: each request that a live dispatcher took gets one final answer in time, and nothing besides.
+func (c *checker) answers() {
+	open := map[string]Event{}
+	done := map[string]bool{}
+	for _, e := range c.events {
+		switch e.Kind {
+		case Asked:
+			open[e.Request] = e
+		case First, Answered:
+			if done[e.Request] && e.Kind == Answered {
+				c.breach(OneAnswer, e, "a second final answer")
+			}
+			asked, ok := open[e.Request]
+			late := asked.Until + c.rules.AnswerSlack + c.rules.Slack
+			if ok && e.At > late && e.Sound && !c.blameless(asked.Dispatcher, asked.At, e.At) {
+				c.breach(OneAnswer, e, "answered %v after the deadline", e.At-asked.Until)
+			}
+			delete(open, e.Request)
+			done[e.Request] = done[e.Request] || e.Kind == Answered
+		case Extra:
+			c.breach(OneAnswer, e, "bytes behind the final answer")
+		case Foreign:
+			c.breach(OneAnswer, e, "served with what no replica made for it")
+		case Quit:
+			asked, ok := open[e.Request]
+			delete(open, e.Request)
+			// A client that quits before its deadline lost its connection; one that quits after it was kept waiting.
+			if ok && e.Sound && !c.blameless(asked.Dispatcher, asked.At, max(e.At, asked.Until)) {
+				c.breach(OneAnswer, e, "no final answer by dispatcher %d", asked.Dispatcher)
+			}
+		}
+	}
+}
+
+// runs: what must not run twice is begun by at most one writer, and not refused once it may have run.
+func (c *checker) runs() {
+	began := map[string]Event{}
+	for _, e := range c.events {
+		if !slices.Contains(c.rules.Unsafe, e.Class) {
+			continue
+		}
+		switch e.Kind {
+		case Began:
+			if first, ok := began[e.Group]; ok {
+				c.breach(NoSecond, e, "group %s ran at %s %v before", e.Group, first.Replica, e.At-first.At)
+			} else {
+				began[e.Group] = e
+			}
+		case Answered:
+			if first, ok := began[e.Group]; ok && (e.Status == 429 || e.Status == 503) {
+				c.breach(NoSecond, e, "refused with %d after it began at %s", e.Status, first.Replica)
+			}
+		}
+	}
+}
+
+// drains: nothing new to a replica that drains or is gone, once the dispatcher knows it. A process that was
+// paused knows it when it wakes.
+func (c *checker) drains() {
+	type pair struct {
+		dispatcher int
+		replica    string
+	}
+	told := map[pair]time.Duration{}
+	for _, e := range c.events {
+		p := pair{e.Dispatcher, e.Replica}
+		switch e.Kind {
+		case Told:
+			if _, ok := told[p]; !ok {
+				told[p] = e.At
+			}
+		case Listed:
+			delete(told, p)
+		case Came:
+			since, ok := told[p]
+			if !ok || !e.Sound {
+				continue
+			}
+			for _, d := range c.down[e.Dispatcher] {
+				if d.At <= e.At && d.Until > since {
+					since = d.Until
+				}
+			}
+			if e.At > since+c.rules.DrainWithin+c.rules.Slack {
+				c.breach(Drains, e, "%v after dispatcher %d knew", e.At-since, e.Dispatcher)
+			}
+		}
+	}
+}
+
+// cold: over all dispatchers, no span brings a cold replica more than its multiple of what it can then do.
+func (c *checker) cold() {
+	type start struct {
+		Event
+		came []Event
+	}
+	starts := map[string]*start{}
+	for _, e := range c.events {
+		switch e.Kind {
+		case Cold:
+			starts[e.Replica] = &start{Event: e}
+		case Came:
+			s := starts[e.Replica]
+			if s == nil || e.At > s.Until {
+				continue
+			}
+			s.came = append(s.came, e)
+			// The budget of a span that ends now, at the capacity of its end: capacity only grows.
+			sum := 0.0
+			for i := len(s.came) - 1; i >= 0 && s.came[i].At > e.At-c.rules.FallSpan; i-- {
+				sum += s.came[i].Weight
+			}
+			grown := float64(e.At-s.At) / float64(s.Until-s.At)
+			capacity := s.Weight * (c.rules.ColdFrom + (1-c.rules.ColdFrom)*grown)
+			// One request more is chance: budgets are counted in whole requests.
+			if budget := c.rules.FallMultiple * capacity * c.rules.FallSpan.Seconds(); sum > budget+e.Weight {
+				c.breach(ColdRule, e, "%.1f within %v, %.1f allowed", sum, c.rules.FallSpan, budget)
+				delete(starts, e.Replica)
+			}
+		}
+	}
+}
+
+// pinned: while none of a request's attempts is out, what is held for it is let go in time.
+func (c *checker) pinned() {
+	type hold struct {
+		Event
+		out   int           // attempts
+		since time.Duration // none is out
+	}
+	held := map[string]*hold{}
+	out := map[string]int{}
+	sound := map[string]bool{}
+	end := time.Duration(0)
+	judge := func(h *hold, at time.Duration) {
+		limit := c.rules.ReleaseAfter + c.rules.Slack
+		if out[h.Request] == 0 && at > h.since+limit && sound[h.Request] && !c.blameless(h.Dispatcher, h.At, at) {
+			c.breach(Pinned, Event{At: at, Request: h.Request, Replica: h.Replica}, "held for %v with no attempt out", at-h.since)
+		}
+	}
+	for _, e := range c.events {
+		end = e.At
+		switch e.Kind {
+		case Came:
+			if h := held[e.Request]; h != nil {
+				judge(h, e.At)
+			}
+			out[e.Request]++
+			sound[e.Request] = e.Sound && (out[e.Request] == 1 || sound[e.Request])
+		case Ended:
+			out[e.Request]--
+			sound[e.Request] = sound[e.Request] && e.Sound
+			if h := held[e.Request]; h != nil {
+				h.since = e.At
+			}
+		case Held:
+			held[e.Request] = &hold{Event: e, since: e.At}
+		case Freed:
+			if h := held[e.Request]; h != nil {
+				judge(h, e.At)
+				delete(held, e.Request)
+			}
+		}
+	}
+	for _, h := range held {
+		judge(h, end)
+	}
+}
--- /dev/null
+++ b/internal/rig/history/history.go
@@ -0,0 +1,100 @@
+// Package history records what the stand-ins round a fleet saw, on one clock, and checks the rules over it.
+package history
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Kind is what an event tells.
+type Kind string
+
+// The kinds of event, by who saw them.
+const (
+	// Clients.
+	Asked    Kind = "asked"    // the last byte of a request went to a dispatcher; Until is the client's deadline
+	Answered Kind = "answered" // by a dispatcher, with Status; Whole: an answer with all its events; at the stream's end
+	First    Kind = "first"    // the first event of a stream came
+	Extra    Kind = "extra"    // bytes came behind a final answer
+	Foreign  Kind = "foreign"  // an answer with what no replica made for the request
+	Quit     Kind = "quit"     // the client gave up, or its connection broke without an answer
+	// Replicas.
+	Came  Kind = "came"  // a request for work came; At is its first byte's time, Weight its work
+	Began Kind = "began" // an attempt at a writer runs
+	Ended Kind = "ended" // an attempt that came is over
+	Held  Kind = "held"  // a read state waits at a reader
+	Freed Kind = "freed" // it was fetched, released or lost
+	Fell  Kind = "fell"  // a cold replica fell over
+	Cold  Kind = "cold"  // a replica started; it is warm at Until and has Weight as its warm capacity a second
+	Probe Kind = "probe" // a replica was asked for its load
+	// Discovery.
+	Told   Kind = "told"   // a dispatcher was told that a replica drains or is gone
+	Listed Kind = "listed" // a dispatcher was told that a replica is ready
+	// Faults of a process: from At on it is not to blame for what it does not do, until Until (0: for good).
+	Down Kind = "down"
+)
+
+// Event is one thing that a stand-in saw. Which fields hold depends on the kind.
+type Event struct {
+	At         time.Duration `json:"at"` // since the run began
+	Kind       Kind          `json:"kind"`
+	Request    string        `json:"request,omitempty"` // its id, new for each try
+	Group      string        `json:"group,omitempty"`   // the first try's id, which its repeats share
+	Class      string        `json:"class,omitempty"`
+	Dispatcher int           `json:"dispatcher"` // from 0; -1: none
+	Replica    string        `json:"replica,omitempty"`
+	Status     int           `json:"status,omitempty"`
+	Whole      bool          `json:"whole,omitempty"`
+	Weight     float64       `json:"weight,omitempty"`
+	Until      time.Duration `json:"until,omitempty"`
+	Sound      bool          `json:"sound,omitempty"` // the link was without a fault all the while
+}
+
+// Recorder takes events from any goroutine.
+type Recorder struct {
+	start  time.Time
+	mu     sync.Mutex
+	events []Event
+}
+
+// NewRecorder starts the one clock.
+func NewRecorder() *Recorder { return &Recorder{start: time.Now()} }
+
+// Now is the time since the run began.
+func (r *Recorder) Now() time.Duration { return time.Since(r.start) }
+
+// Add records an event; one without a time happens now.
+func (r *Recorder) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e.At == 0 {
+		e.At = time.Since(r.start)
+	}
+	r.events = append(r.events, e)
+}
+
+// Events is a copy of all events so far, in the order in which they were recorded.
+func (r *Recorder) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Event(nil), r.events...)
+}
+
+// Write writes events as lines of JSON.
+func Write(w io.Writer, events []Event) error {
+	b := bufio.NewWriter(w)
+	out := json.NewEncoder(b)
+	for _, e := range events {
+		if err := out.Encode(e); err != nil {
+			return fmt.Errorf("history: %w", err)
+		}
+	}
+	if err := b.Flush(); err != nil {
+		return fmt.Errorf("history: %w", err)
+	}
+	return nil
+}
