--- /dev/null
+++ b/cmd/fleetrig/main.go
@@ -0,0 +1,127 @@
+// Command fleetrig runs the program many times over on one machine, with faults between the processes, and checks
+// the rules over what the stand-ins round them saw.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"rampspread/internal/cli"
+	"rampspread/internal/rig"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	root := commands(os.Stdout, os.Stderr)
+	root.SetArgs(cli.Words(os.Args[1:]))
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "fleetrig:", err)
+		os.Exit(1)
+	}
+}
+
+// errBad is a run in which a rule broke or a process crashed; its report has been printed.
+var errBad = errors.New("a rule broke or a process crashed")
+
+func commands(out, logs io.Writer) *cobra.Command {
+	root := cli.Root("fleetrig", "Run a fleet of the program with faults between its processes", out)
+	root.AddCommand(runCommand(out, logs), listCommand(out), demoCommand(out, logs))
+	return root
+}
+
+// beside is the program's binary, which is built into the same folder.
+func beside() string {
+	self, err := os.Executable()
+	if err != nil {
+		return "bin/rampspread"
+	}
+	return filepath.Join(filepath.Dir(self), "rampspread")
+}
+
+func options(c *cobra.Command, o *rig.Options) {
+	c.Flags().StringVar(&o.Program, "program", beside(), "the program's `binary`")
+	c.Flags().IntVar(&o.Dispatchers, "dispatchers", 3, "how many `dispatchers`")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "draws arrivals, sizes and what faults befall")
+}
+
+func logTo(logs io.Writer) *slog.Logger { return slog.New(cli.LogHandler(logs)) }
+
+func runCommand(out, logs io.Writer) *cobra.Command {
+	var o rig.Options
+	var keep string
+	c := &cobra.Command{Use: "run SCENARIO", Short: "Play a scenario, built in or a file; the last line printed is one JSON object",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			s, err := rig.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if keep != "" {
+				o.Dir = filepath.Join(keep, fmt.Sprintf("%s-%d-%d.files", s.Name, o.Dispatchers, o.Seed))
+			}
+			o.Log = logTo(logs)
+			report, err := rig.Play(c.Context(), s, o)
+			if err != nil {
+				return err
+			}
+			if keep != "" {
+				if err := report.Keep(keep); err != nil {
+					return err
+				}
+			}
+			if err := report.Print(out); err != nil {
+				return err
+			}
+			if !report.Good() {
+				return errBad
+			}
+			return nil
+		}}
+	options(c, &o)
+	c.Flags().StringVar(&keep, "out", "", "keep figures, history, chart and logs in this `folder`")
+	c.Flags().Float64Var(&o.Rate, "rate", 1, "a `factor` on the scenario's rate of requests")
+	return c
+}
+
+func listCommand(out io.Writer) *cobra.Command {
+	return &cobra.Command{Use: "list", Short: "Name the built-in scenarios", Args: cli.NoWords, RunE: func(*cobra.Command, []string) error {
+		all, err := rig.Scenarios()
+		if err != nil {
+			return err
+		}
+		for _, s := range all {
+			fmt.Fprintf(out, "%-18s %s\n", s.Name, s.About)
+		}
+		return nil
+	}}
+}
+
+func demoCommand(out, logs io.Writer) *cobra.Command {
+	var o rig.Options
+	c := &cobra.Command{Use: "demo", Short: "Start a whole fleet with the chat front and print how to ask it; SIGINT or SIGTERM ends it",
+		Args: cli.NoWords, RunE: func(c *cobra.Command, _ []string) error {
+			o.Log = logTo(logs)
+			d, err := rig.StartDemo(c.Context(), o)
+			if err != nil {
+				return err
+			}
+			defer d.Close()
+			fmt.Fprintln(out, "A fleet is running. Ask it:")
+			for _, line := range d.Commands() {
+				fmt.Fprintln(out, "   ", line)
+			}
+			<-c.Context().Done()
+			return nil
+		}}
+	options(c, &o)
+	return c
+}
--- a/cmd/rampspread/main.go
+++ b/cmd/rampspread/main.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"rampspread/internal/cli"
 )
 
 const version = "0.1.0"
@@ -19,29 +21,19 @@
 	on := signals{print: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(on.print, syscall.SIGUSR1)
 	signal.Notify(on.reload, syscall.SIGHUP) // caught until the program ends: by default it would end it
-	slog.SetDefault(slog.New(logHandler(os.Stderr)))
+	slog.SetDefault(slog.New(cli.LogHandler(os.Stderr)))
 	if err := run(ctx, os.Args[1:], on, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "rampspread:", err)
 		os.Exit(1)
 	}
 }
 
-// logHandler writes one line of key=value for each event; the event's name stands under the key event.
-func logHandler(out io.Writer) slog.Handler {
-	return slog.NewTextHandler(out, &slog.HandlerOptions{ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
-		if len(groups) == 0 && a.Key == slog.MessageKey {
-			a.Key = "event"
-		}
-		return a
-	}})
-}
-
 // signals are what a running program can be asked for.
 type signals struct{ print, reload chan os.Signal }
 
 // run carries out one sub-command; without one it serves.
 func run(ctx context.Context, args []string, on signals, out io.Writer) error {
 	root := commands(on, out)
-	root.SetArgs(words(args))
+	root.SetArgs(cli.Words(args))
 	return root.ExecuteContext(ctx)
 }
--- /dev/null
+++ b/internal/rig/clients.go
@@ -0,0 +1,306 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"rampspread/internal/rig/fault"
+	"rampspread/internal/rig/history"
+)
+
+const (
+	mostTries    = 3 // a client's first and its own repeats
+	connectWait  = time.Second
+	overtime     = 600 * time.Millisecond // how long beyond its time a client still listens for an answer
+	maxAway      = 500 * time.Millisecond // the longest advice that a client heeds
+	idleConn     = 12 * time.Second
+	checkEvery   = 100 * time.Millisecond
+	noticeAfter  = 2 * time.Second // the front notices a dead dispatcher so late
+	streamSilent = 6 * time.Second
+)
+
+// front deals out clients' connections among the dispatchers that it holds to be there.
+type front struct {
+	run   *Run
+	mu    sync.Mutex
+	in    []bool
+	heard []time.Time
+	next  []int // by zone
+}
+
+func newFront(r *Run) *front {
+	n := len(r.procs)
+	return &front{run: r, in: make([]bool, n), heard: make([]time.Time, n), next: make([]int, r.scenario.Zones)}
+}
+
+// watch asks one dispatcher for its health until the context ends.
+func (f *front) watch(ctx context.Context, d int) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return fault.Dial(ctx, addr, f.run.links.clients[d])
+		}}}
+	tick := time.NewTicker(checkEvery)
+	defer tick.Stop()
+	for {
+		resp, err := client.Get("http://" + f.run.addrs.listen(d) + "/healthz")
+		now := time.Now()
+		f.mu.Lock()
+		switch {
+		case err == nil && resp.StatusCode == http.StatusOK:
+			f.in[d], f.heard[d] = true, now
+		case err == nil:
+			f.in[d] = false // it says no: that is noticed at once
+		case now.Sub(f.heard[d]) > noticeAfter:
+			f.in[d] = false
+		}
+		f.mu.Unlock()
+		if err == nil {
+			resp.Body.Close()
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pick is the next dispatcher for a zone's client; where the zone has none, others serve it. -1: there is none.
+func (f *front) pick(zone int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, own := range []bool{true, false} {
+		for range f.in {
+			f.next[zone]++
+			d := f.next[zone] % len(f.in)
+			if f.in[d] && (!own || d%f.run.scenario.Zones == zone) {
+				return d
+			}
+		}
+	}
+	return -1
+}
+
+// conn is a client's connection.
+type conn struct {
+	*fault.Conn
+	r          *bufio.Reader
+	dispatcher int
+	used       bool
+	idle       time.Time
+}
+
+// clients keeps the connections that are not in use.
+type clients struct {
+	run  *Run
+	mu   sync.Mutex
+	idle map[int][]*conn
+	made int // connections in all
+}
+
+func (c *clients) get(ctx context.Context, d int, fresh bool) (*conn, error) {
+	c.mu.Lock()
+	for n := len(c.idle[d]); n > 0 && !fresh; n = len(c.idle[d]) {
+		k := c.idle[d][n-1]
+		c.idle[d] = c.idle[d][:n-1]
+		if time.Since(k.idle) < idleConn {
+			c.mu.Unlock()
+			k.used = true
+			return k, nil
+		}
+		k.Close()
+	}
+	c.made++
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, connectWait)
+	defer cancel()
+	k, err := fault.Dial(ctx, c.run.addrs.listen(d), c.run.links.clients[d])
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: k, r: bufio.NewReader(k), dispatcher: d}, nil
+}
+
+func (c *clients) put(k *conn) {
+	k.idle = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[k.dispatcher] = append(c.idle[k.dispatcher], k)
+}
+
+func (c *clients) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, all := range c.idle {
+		for _, k := range all {
+			k.Close()
+		}
+	}
+	c.idle = map[int][]*conn{}
+}
+
+// result is what became of one first try with all its repeats.
+type result struct {
+	spec   *spec
+	tries  int
+	status string // served, late, refused, failed, unanswered, unreachable, broken
+	first  time.Duration
+	earned float64
+}
+
+// outcome is what became of one try.
+type outcome struct {
+	status string
+	away   time.Duration
+}
+
+// ask carries one first try through, with its client's own repeats.
+func (c *clients) ask(ctx context.Context, s *spec, rng *rand.Rand) result {
+	start := time.Now()
+	out := result{spec: s, status: "unreachable"}
+	for out.tries = 1; ; out.tries++ {
+		o := c.try(ctx, s, start, rng, &out)
+		out.status = o.status
+		again := o.status == "refused" || o.status == "unreachable" ||
+			s.class.safe && (o.status == "failed" || o.status == "unanswered" || o.status == "broken")
+		if !again || out.tries == mostTries || time.Since(start) > s.class.deadline {
+			return out
+		}
+		away := o.away
+		if away == 0 {
+			away = 50*time.Millisecond + time.Duration(rng.Int64N(int64(200*time.Millisecond)))
+		}
+		if sleep(ctx, min(away, maxAway)) != nil {
+			return out
+		}
+	}
+}
+
+// try sends one try and follows its answer to the end.
+func (c *clients) try(ctx context.Context, s *spec, start time.Time, rng *rand.Rand, out *result) outcome {
+	h := c.run.history
+	patience := min(s.patience, s.class.deadline-time.Since(start))
+	if patience < 50*time.Millisecond {
+		return outcome{status: "unanswered"}
+	}
+	d := c.run.front.pick(s.zone)
+	if d < 0 {
+		return outcome{status: "unreachable"}
+	}
+	id := strconv.FormatUint(rng.Uint64(), 16)
+	c.run.cluster.know(id, s)
+	head := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\n"+
+		"X-Object: %s\r\nX-Expires-In: %dm\r\nX-Props: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		id, s.class.name, s.session, patience.Milliseconds(), s.props(), len(s.body), s.body)
+	for fresh := false; ; fresh = true {
+		k, err := c.get(ctx, d, fresh)
+		if err != nil {
+			return outcome{status: "unreachable"}
+		}
+		asked := time.Now()
+		if _, err := io.WriteString(k, head); err != nil {
+			k.Close()
+			if k.used && !fresh {
+				continue
+			}
+			return outcome{status: "unreachable"}
+		}
+		e := history.Event{Kind: history.Asked, Request: id, Group: s.group, Class: s.class.name, Dispatcher: d, Until: h.Now() + patience}
+		h.Add(e)
+		k.SetReadDeadline(time.Now().Add(patience + overtime))
+		resp, err := http.ReadResponse(k.r, nil)
+		if err != nil {
+			k.Close()
+			// A close between requests may cross one that the dispatcher has not read: it goes once more on a new
+			// connection, unless the process is known to have ended.
+			if k.used && !fresh && !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) && c.run.procs[d].upSince(asked) {
+				continue
+			}
+			h.Add(history.Event{Kind: history.Quit, Request: id, Dispatcher: d, Sound: k.Link().Sound(asked.Add(-time.Second)) && c.run.procs[d].upSince(asked)})
+			return outcome{status: "unanswered"}
+		}
+		return c.follow(k, resp, s, id, start, asked, out)
+	}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// follow reads an answer.
+func (c *clients) follow(k *conn, resp *http.Response, s *spec, id string, start, asked time.Time, out *result) outcome {
+	h := c.run.history
+	defer resp.Body.Close()
+	event := history.Event{Kind: history.Answered, Request: id, Group: s.group, Class: s.class.name, Dispatcher: k.dispatcher,
+		Status: resp.StatusCode}
+	finish := func(whole bool) {
+		event.Whole, event.Sound = whole, k.Link().Sound(asked.Add(-time.Second))
+		h.Add(event)
+		if n := k.r.Buffered(); whole && n > 0 {
+			h.Add(history.Event{Kind: history.Extra, Request: id, Dispatcher: k.dispatcher})
+		}
+		if whole && !resp.Close && k.r.Buffered() == 0 {
+			k.SetReadDeadline(time.Time{})
+			c.put(k)
+		} else {
+			k.Close()
+		}
+	}
+	if resp.StatusCode != http.StatusOK {
+		_, err := io.Copy(io.Discard, resp.Body)
+		finish(err == nil)
+		if resp.StatusCode == 429 || resp.StatusCode == 503 {
+			away, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			if err != nil {
+				away = 0
+			}
+			return outcome{"refused", seconds(away)}
+		}
+		return outcome{status: "failed"}
+	}
+	lines := bufio.NewScanner(resp.Body)
+	tokens, done, first, last := 0, false, time.Time{}, time.Time{}
+	for lines.Scan() {
+		k.SetReadDeadline(time.Now().Add(streamSilent))
+		line := lines.Text()
+		if strings.Contains(line, `"content":`) {
+			if last = time.Now(); tokens == 0 {
+				first = last
+				h.Add(history.Event{Kind: history.First, Request: id, Dispatcher: k.dispatcher, Sound: k.Link().Sound(asked.Add(-time.Second))})
+			}
+			if !strings.Contains(line, mark(id, tokens)) {
+				h.Add(history.Event{Kind: history.Foreign, Request: id, Dispatcher: k.dispatcher})
+			}
+			tokens += eventTokens
+		}
+		done = done || line == "data: [DONE]"
+	}
+	err := lines.Err()
+	finish(err == nil)
+	if err == nil && !done {
+		h.Add(history.Event{Kind: history.Foreign, Request: id, Dispatcher: k.dispatcher})
+	}
+	if err != nil || !done {
+		return outcome{status: "broken"}
+	}
+	out.first = first.Sub(start)
+	aim := s.class.aim + time.Duration(s.prompt)*40*time.Microsecond
+	pace := last.Sub(first) / time.Duration(max(s.output, 1))
+	out.earned = s.worth()
+	if out.first > aim || pace > s.class.token {
+		out.earned *= 0.1
+		return outcome{status: "late"}
+	}
+	return outcome{status: "served"}
+}
--- /dev/null
+++ b/internal/rig/demo.go
@@ -0,0 +1,87 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"rampspread/internal/rig/history"
+)
+
+// Demo is a fleet that runs until it is closed, with the chat front, for people to try.
+type Demo struct{ run *Run }
+
+// chatPort is where the demo's dispatchers have their chat front, each on an address of its own.
+const chatPort = 8080
+
+// StartDemo starts the stand-ins and the dispatchers; the replicas answer whoever asks.
+func StartDemo(ctx context.Context, o Options) (*Demo, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	r := &Run{scenario: &Scenario{Name: "demo", Zones: 3, Readers: 3, Writers: 3}, options: o, history: history.NewRecorder(),
+		rules: history.Rules{FallMultiple: 2.5, FallSpan: seconds(2), ColdFrom: 0.34}, anyone: true}
+	dir, err := os.MkdirTemp("", "fleetrig-")
+	if err != nil {
+		return nil, fmt.Errorf("demo: %w", err)
+	}
+	r.dir = dir
+	d := &Demo{r}
+	if err := r.begin(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Close ends all that was started.
+func (d *Demo) Close() {
+	d.run.close()
+	os.RemoveAll(d.run.dir)
+}
+
+// Commands ask the fleet in ways that work as they stand.
+func (d *Demo) Commands() []string {
+	chat := d.run.addrs.at(1, 1, chatPort)
+	return []string{
+		fmt.Sprintf(`curl -N %s/v1/chat/completions -d '{"model":"parzellen-frage","stream":true,"messages":[{"role":"user","content":"Who owns plot 7?"}]}'`, chat),
+		fmt.Sprintf(`%s call -at %s check`, d.run.options.Program, d.run.addrs.ops(0)),
+	}
+}
+
+// chatFile writes the chat front's file for a dispatcher.
+func (r *Run) chatFile(d int) (string, error) {
+	models := map[string]string{}
+	for _, c := range classes {
+		models[c.name] = c.name
+	}
+	text, err := json.Marshal(map[string]any{"listen": r.addrs.at(1, d+1, chatPort), "models": models, "max_tokens": 100,
+		"filings": map[string]any{"entries": 1000, "keep_s": 3600}})
+	if err != nil {
+		return "", fmt.Errorf("chat file: %w", err)
+	}
+	path := filepath.Join(r.dir, fmt.Sprintf("n%d.chat.json", d))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return "", fmt.Errorf("chat file: %w", err)
+	}
+	return path, nil
+}
+
+// stranger is what replicas make of a request that no client of the rig sent, where anyone may ask.
+func (r *Run) stranger(q *http.Request, body []byte) *spec {
+	var ask struct{ Model string }
+	if !r.anyone || json.Unmarshal(body, &ask) != nil {
+		return nil
+	}
+	for _, c := range classes {
+		if c.name == ask.Model {
+			id := q.Header.Get("X-Trace-Id")
+			return &spec{group: id, class: c, session: id, prompt: 100, output: c.output, body: string(body)}
+		}
+	}
+	return nil
+}
--- a/internal/rig/fault/listen.go
+++ b/internal/rig/fault/listen.go
@@ -173,6 +173,9 @@
 	return l.adjust()
 }
 
+// Link is the link whose calls it accepts.
+func (l *Listener) Link() *Link { return l.link }
+
 // Addr implements net.Listener.
 func (l *Listener) Addr() net.Addr { return l.addr }
 
--- a/internal/rig/history/check_test.go
+++ b/internal/rig/history/check_test.go
@@ -85,6 +85,8 @@
 		{"held too long", history.Pinned, []history.Event{ev(1*ms, history.Came, nil), ev(2*ms, history.Held, nil), ev(3*ms, history.Ended, nil), ev(654*ms, history.Freed, nil)}},
 		{"held while a send waits", "", []history.Event{ev(1*ms, history.Came, nil), ev(2*ms, history.Held, nil), ev(3*ms, history.Ended, nil),
 			ev(5*ms, history.Came, nil), ev(900*ms, history.Freed, nil)}},
+		{"the send was held back by a cut", "", []history.Event{ev(1*ms, history.Came, nil), ev(2*ms, history.Held, nil), ev(3*ms, history.Ended, nil),
+			ev(900*ms, history.Came, unsound), ev(901*ms, history.Freed, nil)}},
 		{"never let go", history.Pinned, []history.Event{ev(1*ms, history.Came, nil), ev(2*ms, history.Held, nil), ev(3*ms, history.Ended, nil), ev(9000*ms, history.Probe, nil)}},
 		{"never let go by one that died", "", []history.Event{ev(1*ms, history.Came, nil), ev(2*ms, history.Held, nil), ev(3*ms, history.Ended, nil),
 			ev(4*ms, history.Down, nil), ev(9000*ms, history.Probe, nil)}},
--- /dev/null
+++ b/internal/rig/process.go
@@ -0,0 +1,262 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"rampspread/internal/rig/history"
+)
+
+const (
+	readyWait = 20 * time.Second
+	killAfter = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline counts as 3 s, and 0.7 s more
+)
+
+// proc is one dispatcher's process, through all its lives.
+type proc struct {
+	run    *Run
+	index  int
+	config string   // path
+	args   []string // of every life
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{} // of this life
+	meant   bool          // its end is of the rig's making
+	down    time.Duration // since when; 0: it is up
+	since   time.Time     // this life or the last pause's end
+	crashes int
+	counts  map[string]float64 // the last life's counters
+}
+
+// start begins a life and returns once it serves.
+func (p *proc) start(ctx context.Context) error {
+	log, err := os.OpenFile(filepath.Join(p.run.dir, fmt.Sprintf("n%d.log", p.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("dispatcher %d: %w", p.index, err)
+	}
+	defer log.Close()
+	cmd := exec.Command(p.run.options.Program, p.args...)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+p.config)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("dispatcher %d: %w", p.index, err)
+	}
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.ended, p.meant = cmd, ended, false
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		if !p.meant || err != nil && cmd.ProcessState.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
+			p.crashes++
+			p.run.logf("dispatcher=%d crashed err=%v", p.index, err)
+		}
+		if p.down == 0 {
+			p.down = p.run.history.Now()
+		}
+		p.mu.Unlock()
+		close(ended)
+	}()
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(readyWait); ; {
+		if resp, err := client.Get("http://" + p.run.addrs.listen(p.index) + "/healthz"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("dispatcher %d ended before it served: see its log in %s", p.index, p.run.dir)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("dispatcher %d did not serve within %v", p.index, readyWait)
+		}
+	}
+	p.up()
+	return nil
+}
+
+// up notes that it serves again: until now it was not to blame.
+func (p *proc) up() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down > 0 {
+		p.run.history.Add(history.Event{At: p.down, Kind: history.Down, Dispatcher: p.index, Until: p.run.history.Now()})
+	}
+	p.down, p.since = 0, time.Now()
+}
+
+// upSince tells whether it has been up since t without a break.
+func (p *proc) upSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down == 0 && p.since.Before(t)
+}
+
+// signal sends one to this life. A life that is meant to end by it has not crashed.
+func (p *proc) signal(s syscall.Signal, down, ends bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.meant = p.meant || ends
+	if down && p.down == 0 {
+		p.down = p.run.history.Now()
+	}
+	if p.cmd != nil {
+		p.cmd.Process.Signal(s) // one that has ended already takes none
+	}
+}
+
+func (p *proc) kill() {
+	p.signal(syscall.SIGKILL, true, true)
+	<-p.ended
+}
+
+// term ends it as a planned restart does.
+func (p *proc) term() {
+	p.signal(syscall.SIGTERM, false, true)
+	select {
+	case <-p.ended:
+	case <-time.After(killAfter):
+		p.kill()
+	}
+}
+
+func (p *proc) pause(ctx context.Context, d time.Duration) {
+	p.signal(syscall.SIGSTOP, true, false)
+	sleep(ctx, d)
+	p.signal(syscall.SIGCONT, false, false)
+	p.up()
+}
+
+// restart starts a life after the last one's end. With forget it finds nothing of what the last one stored.
+func (p *proc) restart(ctx context.Context, after time.Duration, forget bool) {
+	if sleep(ctx, after) != nil {
+		return
+	}
+	if forget {
+		os.RemoveAll(p.run.stateDir(p.index))
+	}
+	if err := p.start(ctx); err != nil && ctx.Err() == nil {
+		p.mu.Lock()
+		p.crashes++
+		p.mu.Unlock()
+		p.run.logf("dispatcher=%d restart err=%v", p.index, err)
+	}
+}
+
+// stop ends the last life in good order and reads its counters.
+func (p *proc) stop() {
+	p.mu.Lock()
+	ended, cmd := p.ended, p.cmd
+	p.meant = true
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	cmd.Process.Signal(syscall.SIGCONT)
+	cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(killAfter):
+		cmd.Process.Kill()
+		<-ended
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down > 0 { // for good
+		p.run.history.Add(history.Event{At: p.down, Kind: history.Down, Dispatcher: p.index})
+	}
+	text, _ := os.ReadFile(filepath.Join(p.run.dir, fmt.Sprintf("n%d.log", p.index)))
+	p.counts = lastCounters(text)
+}
+
+var (
+	counterLine = regexp.MustCompile(`(?m)^event=counters .*$`)
+	counter     = regexp.MustCompile(`(\w+)=([0-9.]+)`)
+)
+
+// lastCounters reads the last line of counters in a log.
+func lastCounters(text []byte) map[string]float64 {
+	out := map[string]float64{}
+	lines := counterLine.FindAll(text, -1)
+	if len(lines) == 0 {
+		return out
+	}
+	for _, m := range counter.FindAllSubmatch(lines[len(lines)-1], -1) {
+		if v, err := strconv.ParseFloat(string(m[2]), 64); err == nil {
+			out[string(m[1])] = v
+		}
+	}
+	return out
+}
+
+// settings is the platform's object for a dispatcher of a rig: the deployment's classes on the rig's replicas.
+func (r *Run) settings(d int) map[string]any {
+	var table []map[string]any
+	var aims, tokens []float64
+	for _, c := range classes {
+		effect := "fragile"
+		if c.safe {
+			effect = "retryable"
+		}
+		table = append(table, map[string]any{"name": c.name, "effect": effect, "group": "all", "importance": c.worth,
+			"promiseMs": c.aim.Milliseconds(), "hardLimitMs": c.deadline.Milliseconds(), "lateWorth": 0.1, "streaming": true, "windowMs": 5000})
+		aims = append(aims, 40_000)
+		tokens = append(tokens, float64(c.token.Milliseconds()))
+	}
+	return map[string]any{
+		"az": d % r.scenario.Zones, "balancers": len(r.procs), "me": d, "zones": r.zones, "classes": table,
+		"kinds": []string{"prefill", "decode-a"}, "discovery": "push", "family": "twostage",
+		"familyInfo": map[string]any{"aimUsPer1000PromptTokens": aims, "dutyByKind": []string{"read", "write"},
+			"localRead": false, "releaseWithinMs": 300, "tokenAimMs": tokens, "resume": false},
+		"limits": map[string]any{"cancelling": true, "connIdleMs": 15000, "connectTimeoutMs": 250, "maxRetryAfterMs": 500,
+			"mostHeld": 20000, "mostTries": 4, "probing": true, "retryAfter": true, "secondCopies": true},
+		"rules": map[string]any{"answerSlackMs": 8, "coldFrom": r.rules.ColdFrom, "coldMs": warmAfter.Milliseconds(),
+			"fallMultiple": r.rules.FallMultiple, "stopSendingWithinMs": 500, "tipAfterMs": r.rules.FallSpan.Milliseconds()},
+		"telemetry": map[string]any{"fields": []string{"util", "queue", "x0"}, "how": "pull"},
+	}
+}
+
+// configure writes the files of a dispatcher.
+func (p *proc) configure() error {
+	r := p.run
+	text, err := json.MarshalIndent(map[string]any{
+		"name": r.names[p.index], "listen": r.addrs.listen(p.index), "discovery": r.addrs.discovery(p.index), "ops": r.addrs.ops(p.index),
+		"seed":   fmt.Sprintf("%016x", r.options.Seed*1000+uint64(p.index)+1),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":  r.discovery.known(p.index), "settings": r.settings(p.index),
+	}, "", " ")
+	if err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	p.config = filepath.Join(r.dir, fmt.Sprintf("n%d.json", p.index))
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	p.args = append([]string{"serve"}, r.options.Args...)
+	if r.anyone {
+		chat, err := r.chatFile(p.index)
+		if err != nil {
+			return err
+		}
+		p.args = append(p.args, "-chat", chat)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/report.go
@@ -0,0 +1,242 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"image/color"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"rampspread/internal/rig/history"
+)
+
+// Report is what came of a run. Shares are of worth: what was answered in time, over what was asked for.
+type Report struct {
+	Scenario    string             `json:"scenario"`
+	Seed        uint64             `json:"seed"`
+	Dispatchers int                `json:"dispatchers"`
+	Asked       int                `json:"asked"` // first tries
+	Served      float64            `json:"served_share"`
+	Worst10S    float64            `json:"worst_10s"`
+	RecoveryS   *float64           `json:"recovery_s"` // null: not reached
+	RulesBroken int                `json:"rules_broken"`
+	Crashes     int                `json:"crashes"`
+	ByClass     map[string]float64 `json:"by_class"`
+	ByStatus    map[string]int     `json:"by_status"` // of first tries with their repeats
+	FirstMS     map[string]float64 `json:"first_token_ms"`
+	Tries       int                `json:"tries"`
+	Connections int                `json:"connections"` // that clients opened
+	Probes      float64            `json:"probes_per_replica_s"`
+	Fell        int                `json:"fell"` // cold replicas that were pushed over
+	PerSecond   []float64          `json:"per_second"`
+
+	breaches []history.Breach
+	events   []history.Event
+	spans    [][2]float64 // of the faults, in seconds of the day
+}
+
+// Good tells whether no rule broke and nothing crashed.
+func (r *Report) Good() bool { return r.RulesBroken == 0 && r.Crashes == 0 }
+
+const (
+	window   = time.Second
+	recovers = 0.95 // of the level before, for
+	holds    = 3    // windows
+	warmUp   = 3    // windows at a day's begin that do not count as its level
+)
+
+func (r *Run) report(results []result, base time.Duration, connections int) *Report {
+	events := r.history.Events()
+	out := &Report{Scenario: r.scenario.Name, Seed: r.options.Seed, Dispatchers: len(r.procs), Asked: len(results), Connections: connections,
+		ByClass: map[string]float64{}, ByStatus: map[string]int{}, FirstMS: map[string]float64{}, events: events}
+	out.breaches = history.Check(events, r.rules)
+	out.RulesBroken = len(out.breaches)
+	for _, p := range r.procs {
+		out.Crashes += p.crashes
+	}
+	first := hdrhistogram.New(1, 60_000, 3) // ms
+	n := int(r.scenario.Seconds)
+	asked, earned := make([]float64, n), make([]float64, n)
+	classAsked := map[string]float64{}
+	for _, q := range results {
+		w := min(int(q.spec.at/window), n-1)
+		asked[w] += q.spec.worth()
+		earned[w] += q.earned
+		classAsked[q.spec.class.name] += q.spec.worth()
+		out.ByClass[q.spec.class.name] += q.earned
+		out.ByStatus[q.status]++
+		out.Tries += q.tries
+		if q.first > 0 {
+			first.RecordValue(min(q.first.Milliseconds(), 60_000))
+		}
+	}
+	for name, all := range classAsked {
+		out.ByClass[name] /= all
+	}
+	for _, p := range []float64{50, 90, 99} {
+		out.FirstMS[fmt.Sprintf("p%v", p)] = float64(first.ValueAtQuantile(p))
+	}
+	out.Served = share(earned, asked)
+	out.Worst10S = 1
+	for i := 0; i+10 <= n; i++ {
+		out.Worst10S = min(out.Worst10S, share(earned[i:i+10], asked[i:i+10]))
+	}
+	for i := range n {
+		out.PerSecond = append(out.PerSecond, share(earned[i:i+1], asked[i:i+1]))
+	}
+	if len(r.scenario.Faults) > 0 {
+		out.RecoveryS = recovery(out.PerSecond, earned, asked, int(seconds(r.scenario.Faults[0].At)/window), max(r.healed-base, 0))
+	} else {
+		out.RecoveryS = new(float64)
+	}
+	probes := 0
+	for _, e := range events {
+		switch e.Kind {
+		case history.Probe:
+			probes++
+		case history.Fell:
+			out.Fell++
+		}
+	}
+	out.Probes = float64(probes) / float64(len(r.cluster.replicas)) / r.scenario.Seconds
+	out.spans = r.spans
+	return out
+}
+
+func share(earned, asked []float64) float64 {
+	e, a := 0.0, 0.0
+	for i := range asked {
+		e, a = e+earned[i], a+asked[i]
+	}
+	if a == 0 {
+		return 1
+	}
+	return e / a
+}
+
+// recovery is how long after the last fault's end windows hold 95% of the level before for 3 s; nil: never.
+func recovery(perSecond, earned, asked []float64, from int, end time.Duration) *float64 {
+	level := 1.0
+	if from > warmUp {
+		level = share(earned[warmUp:from], asked[warmUp:from])
+	}
+	run := 0
+	for i := int((end + window - 1) / window); i < len(perSecond); i++ {
+		if perSecond[i] < recovers*level {
+			run = 0
+			continue
+		}
+		if run++; run == holds {
+			s := max(float64(i+1-holds)-end.Seconds(), 0)
+			return &s
+		}
+	}
+	return nil
+}
+
+// Print writes the report as a table, the breaches, and as its last line one JSON object.
+func (r *Report) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "scenario\t%s\tseed\t%d\tdispatchers\t%d\n", r.Scenario, r.Seed, r.Dispatchers)
+	fmt.Fprintf(t, "asked\t%d\ttries\t%d\tconnections\t%d\n", r.Asked, r.Tries, r.Connections)
+	recovered := "not reached"
+	if r.RecoveryS != nil {
+		recovered = fmt.Sprintf("%.1f s", *r.RecoveryS)
+	}
+	fmt.Fprintf(t, "served\t%.3f\tworst 10 s\t%.3f\trecovery\t%s\n", r.Served, r.Worst10S, recovered)
+	for _, name := range sortedKeys(r.ByClass) {
+		fmt.Fprintf(t, "%s\t%.3f\n", name, r.ByClass[name])
+	}
+	for _, name := range sortedKeys(r.ByStatus) {
+		fmt.Fprintf(t, "%s\t%d\n", name, r.ByStatus[name])
+	}
+	fmt.Fprintf(t, "first token\tp50 %.0f ms\tp90 %.0f ms\tp99 %.0f ms\n", r.FirstMS["p50"], r.FirstMS["p90"], r.FirstMS["p99"])
+	fmt.Fprintf(t, "probes\t%.2f a replica and second\tfell\t%d\n", r.Probes, r.Fell)
+	fmt.Fprintf(t, "rules broken\t%d\tcrashes\t%d\n", r.RulesBroken, r.Crashes)
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	for i, b := range r.breaches {
+		if i == 20 {
+			fmt.Fprintf(w, "and %d more\n", len(r.breaches)-i)
+			break
+		}
+		fmt.Fprintln(w, b)
+	}
+	if err := json.NewEncoder(w).Encode(r); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Keep writes a run's figures behind those of others in figures.jsonl, its history and its chart.
+func (r *Report) Keep(dir string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	name := fmt.Sprintf("%s-%d-%d", r.Scenario, r.Dispatchers, r.Seed)
+	f, err := os.OpenFile(filepath.Join(dir, "figures.jsonl"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	defer f.Close()
+	if err := json.NewEncoder(f).Encode(r); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	h, err := os.Create(filepath.Join(dir, name+".history.jsonl"))
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	defer h.Close()
+	if err := history.Write(h, r.events); err != nil {
+		return err
+	}
+	return r.chart(filepath.Join(dir, name+".svg"))
+}
+
+// chart draws the served share of each second, with the faults' times behind it.
+func (r *Report) chart(path string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s, %d dispatchers, seed %d", r.Scenario, r.Dispatchers, r.Seed)
+	p.X.Label.Text, p.Y.Label.Text = "s", "served share of the second's worth"
+	p.Y.Min, p.Y.Max, p.X.Min, p.X.Max = 0, 1.05, 0, float64(len(r.PerSecond))
+	for _, s := range r.spans {
+		box, err := plotter.NewPolygon(plotter.XYs{{X: s[0]}, {X: s[0], Y: 1.05}, {X: max(s[1], s[0]+0.1), Y: 1.05}, {X: max(s[1], s[0]+0.1)}})
+		if err != nil {
+			return fmt.Errorf("chart: %w", err)
+		}
+		box.Color, box.LineStyle.Width = color.RGBA{255, 200, 200, 255}, 0
+		p.Add(box)
+	}
+	var points plotter.XYs
+	for i, y := range r.PerSecond {
+		points = append(points, plotter.XY{X: float64(i), Y: y}, plotter.XY{X: float64(i + 1), Y: y})
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return fmt.Errorf("chart: %w", err)
+	}
+	p.Add(line)
+	if err := p.Save(16*vg.Centimeter, 8*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("chart: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,182 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"rampspread/internal/rig/history"
+)
+
+// program builds the real program once for all tests of the package.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "rigtest-")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "rampspread")
+	if out, err := exec.Command("go", "build", "-o", program, "rampspread/cmd/rampspread").CombinedOutput(); err != nil {
+		os.Stderr.Write(out)
+		os.RemoveAll(dir)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// short is a built-in scenario cut to its first seconds, with faults moved forward.
+func short(t *testing.T, name string, length, earlier float64) *Scenario {
+	t.Helper()
+	s, err := Load(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Seconds = length
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		f.At -= earlier
+		f.For = min(f.For, 3)
+	}
+	return s
+}
+
+// Real processes with faults between them: no rule breaks, nothing crashes, and what the fault does shows in what
+// the stand-ins saw. Shares are not judged here, since the machine's load moves them.
+func TestProcessesUnderFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		length float64
+		shows  func(r *Report) bool
+	}{
+		{"kill-most", 9, func(r *Report) bool { return downs(r) == 2 }},
+		{"pause-one", 9, func(r *Report) bool { return downs(r) == 1 }},
+		{"cut-zone", 9, func(r *Report) bool { return downs(r) == 0 && r.ByStatus["served"] > 0 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r, err := Play(context.Background(), short(t, c.name, c.length, 5), Options{Program: program, Dispatchers: 3, Seed: 1, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.breaches {
+				t.Error(b)
+			}
+			if r.Crashes > 0 || r.Asked == 0 || r.ByStatus["served"] == 0 || !c.shows(r) {
+				t.Errorf("%+v", r)
+			}
+			var out bytes.Buffer
+			if err := r.Print(&out); err != nil {
+				t.Fatal(err)
+			}
+			lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+			var last map[string]any
+			if err := json.Unmarshal([]byte(lines[len(lines)-1]), &last); err != nil {
+				t.Fatal(err)
+			}
+			for _, key := range []string{"scenario", "seed", "dispatchers", "asked", "served_share", "worst_10s", "recovery_s", "rules_broken", "crashes"} {
+				if _, ok := last[key]; !ok {
+					t.Errorf("the last line has no %s", key)
+				}
+			}
+			dir := t.TempDir()
+			if err := r.Keep(dir); err != nil {
+				t.Fatal(err)
+			}
+			if kept, _ := filepath.Glob(dir + "/*"); len(kept) != 3 {
+				t.Errorf("kept %v", kept)
+			}
+		})
+	}
+}
+
+func downs(r *Report) (n int) {
+	for _, e := range r.events {
+		if e.Kind == history.Down && e.Until > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// The demo's commands work as printed.
+func TestDemo(t *testing.T) {
+	d, err := StartDemo(context.Background(), Options{Program: program, Dispatchers: 3, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	for i, want := range []string{"data: [DONE]", "SUCCESS serving"} {
+		out, err := exec.Command("bash", "-c", d.Commands()[i]).Output()
+		if err != nil || !strings.Contains(string(out), want) {
+			t.Errorf("%s: %q, %v", d.Commands()[i], out, err)
+		}
+	}
+}
+
+// A day is the same for the same seed, and another for another.
+func TestDrawIsSeeded(t *testing.T) {
+	s, err := Load("calm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b, c := draw(s, 1), draw(s, 1), draw(s, 2)
+	same := func(x, y *spec) bool {
+		return *x.class == *y.class && x.group == y.group && x.at == y.at && x.prompt == y.prompt
+	}
+	if len(a) == 0 || !slices.EqualFunc(a, b, same) || slices.EqualFunc(a, c, same) {
+		t.Errorf("%d, %d and %d requests", len(a), len(b), len(c))
+	}
+	if rate := float64(len(a)) / s.Seconds; rate < s.Rate/2 || rate > s.Rate*1.5 {
+		t.Errorf("%.1f requests a second, wanted about %v", rate, s.Rate)
+	}
+}
+
+func TestScenarios(t *testing.T) {
+	all, err := Scenarios()
+	if err != nil || len(all) < 8 {
+		t.Fatalf("%d scenarios, %v", len(all), err)
+	}
+	good := `{"name":"x","seconds":20,"rate":9,"zones":3,"readers":3,"writers":3,"faults":[{"at":5,"do":"kill","for":3}]}`
+	if _, err := ParseScenario([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, change := range [][2]string{
+		{`"rate":9`, `"rate":0`}, {`"rate":9`, `"rate":9,"speed":1`}, {`"zones":3`, `"zones":0`}, {`"readers":3`, `"readers":0`},
+		{`"name":"x"`, `"name":"../x"`}, {`"do":"kill"`, `"do":"fly"`}, {`"at":5`, `"at":25`}, {`"for":3`, `"for":16`},
+		{`"do":"kill"`, `"do":"kill","part":2`}, {`"do":"kill"`, `"do":"cut-zone","zone":3`}, {`"do":"kill"`, `"do":"links"`},
+		{`"do":"kill"`, `"do":"kill","links":"replicas"`}, {`"do":"kill"`, `"do":"links","links":"replicas","way":"up"`},
+		{`"do":"kill"`, `"do":"replica-slow","factor":1`}, {`"seconds":20`, `"seconds":1e9`}, {`}]}`, `}]} {}`}, {`}]}`, `}]`},
+	} {
+		if _, err := ParseScenario([]byte(strings.Replace(good, change[0], change[1], 1))); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", change[1], err)
+		}
+	}
+}
+
+// Recovery counts from the last fault's end to the first of three windows that hold the level before.
+func TestRecovery(t *testing.T) {
+	ones := slices.Repeat([]float64{1}, 20)
+	for _, c := range []struct {
+		low  []int
+		want float64 // -1: not reached
+	}{{nil, 0}, {[]int{10, 11}, 2}, {[]int{10, 13}, 4}, {[]int{10, 13, 16, 18}, -1}} {
+		per := slices.Clone(ones)
+		for _, i := range c.low {
+			per[i] = 0.9
+		}
+		got := recovery(per, ones, ones, 8, 10*time.Second)
+		if c.want < 0 && got != nil || c.want >= 0 && (got == nil || *got != c.want) {
+			t.Errorf("%v: %v, want %v", c.low, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/run.go
@@ -0,0 +1,407 @@
+package rig
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"rampspread/internal/rig/fault"
+	"rampspread/internal/rig/history"
+)
+
+// Options say how a scenario is run.
+type Options struct {
+	Program     string // path of the program's binary
+	Args        []string
+	Dispatchers int
+	Seed        uint64
+	Dir         string // for the processes' files and logs; none: a temporary one, removed at the end unless a rule broke
+	Log         *slog.Logger
+	// Rate is a factor on the scenario's rate; 0 means 1.
+	Rate float64
+}
+
+// Run is one scenario being played.
+type Run struct {
+	scenario  *Scenario
+	options   Options
+	dir       string
+	names     []string
+	zones     []string
+	rules     history.Rules
+	history   *history.Recorder
+	cluster   *cluster
+	discovery *discovery
+	addrs     *addresses
+	links     links
+	procs     []*proc
+	front     *front
+	servers   []*http.Server
+	anyone    bool // replicas answer requests that no client of the rig sent, and each dispatcher has a chat front
+
+	mu     sync.Mutex
+	healed time.Duration // when the last fault so far had ended
+	spans  [][2]float64  // of the faults, in seconds of the day
+}
+
+// links are all links, by what is at their other end.
+type links struct {
+	replicas  [][]*fault.Link // by dispatcher and replica
+	discovery []*fault.Link
+	clients   []*fault.Link
+}
+
+// addresses are a run's own part of the loopback range: a /16 that no other run on this machine has.
+type addresses struct {
+	net  int
+	lock net.Listener
+}
+
+func newAddresses() (*addresses, error) {
+	for try := range 230 {
+		a := &addresses{net: 10 + (os.Getpid()+try*7)%230}
+		var err error
+		if a.lock, err = net.Listen("tcp4", a.at(255, 254, 47999)); err == nil {
+			return a, nil
+		}
+	}
+	return nil, errors.New("rig: no part of the loopback range is free")
+}
+
+func (a *addresses) at(third, fourth, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", a.net, third, fourth, port)
+}
+
+func (a *addresses) listen(d int) string     { return a.at(1, d+1, 9000) }
+func (a *addresses) ops(d int) string        { return a.at(1, d+1, 9600) }
+func (a *addresses) discovery(d int) string  { return a.at(2, d+1, 8500) }
+func (a *addresses) replica(r, d int) string { return a.at(20+r, d+1, 9100) }
+
+// maxDispatchers is what the addresses have room for.
+const maxDispatchers = 250
+
+func (r *Run) logf(format string, args ...any) { r.options.Log.Info(fmt.Sprintf(format, args...)) }
+
+func (r *Run) stateDir(d int) string { return filepath.Join(r.dir, fmt.Sprintf("n%d.state", d)) }
+
+// Play runs a scenario to its end and tells what came of it. All processes that it started have ended then.
+func Play(ctx context.Context, s *Scenario, o Options) (*Report, error) {
+	if o.Dispatchers < 1 || o.Dispatchers > maxDispatchers {
+		return nil, fmt.Errorf("rig: %d dispatchers are not from 1 to %d", o.Dispatchers, maxDispatchers)
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	day := *s
+	day.Rate *= cmp.Or(o.Rate, 1)
+	r := &Run{scenario: &day, options: o, history: history.NewRecorder(), dir: o.Dir,
+		rules: history.Rules{AnswerSlack: 58 * time.Millisecond, DrainWithin: 550 * time.Millisecond, ReleaseAfter: 650 * time.Millisecond,
+			FallMultiple: 2.5, FallSpan: 2 * time.Second, ColdFrom: 0.34, Slack: 150 * time.Millisecond}}
+	for _, c := range classes {
+		if !c.safe {
+			r.rules.Unsafe = append(r.rules.Unsafe, c.name)
+		}
+	}
+	if r.dir == "" {
+		dir, err := os.MkdirTemp("", "fleetrig-")
+		if err != nil {
+			return nil, fmt.Errorf("rig: %w", err)
+		}
+		r.dir = dir
+	} else if err := os.MkdirAll(r.dir, 0o700); err != nil {
+		return nil, fmt.Errorf("rig: %w", err)
+	}
+	defer r.close()
+	if err := r.begin(ctx); err != nil {
+		return nil, err
+	}
+	report, err := r.play(ctx)
+	if err == nil && o.Dir == "" && report.Good() {
+		os.RemoveAll(r.dir)
+	} else {
+		r.logf("files=%s", r.dir)
+	}
+	return report, err
+}
+
+// begin starts the stand-ins and then all dispatchers at once.
+func (r *Run) begin(ctx context.Context) error {
+	var err error
+	if r.addrs, err = newAddresses(); err != nil {
+		return err
+	}
+	for z := range r.scenario.Zones {
+		r.zones = append(r.zones, fmt.Sprintf("zone-%c", 'a'+z))
+	}
+	r.cluster = newCluster(r.history, r.rules, r.scenario)
+	r.cluster.stranger = r.stranger
+	r.discovery = newDiscovery(r.history, r.cluster.replicas, r.zones, func(p *replica, d int) string { return r.addrs.replica(p.index, d) })
+	n := r.options.Dispatchers
+	r.procs = make([]*proc, n)
+	seed := r.options.Seed
+	for d := range n {
+		r.names = append(r.names, fmt.Sprintf("n%d", d))
+		r.procs[d] = &proc{run: r, index: d}
+		r.links.clients = append(r.links.clients, fault.NewLink(seed+uint64(d)))
+		r.links.discovery = append(r.links.discovery, fault.NewLink(seed+uint64(d)+1000))
+		l, err := fault.Listen(r.addrs.discovery(d), r.links.discovery[d])
+		if err != nil {
+			return fmt.Errorf("rig: discovery: %w", err)
+		}
+		r.servers = append(r.servers, r.discovery.serve(l, d))
+		var row []*fault.Link
+		for _, p := range r.cluster.replicas {
+			link := fault.NewLink(seed + uint64(d*1000+p.index))
+			l, err := fault.Listen(r.addrs.replica(p.index, d), link)
+			if err != nil {
+				return fmt.Errorf("rig: %s: %w", p.name, err)
+			}
+			p.listeners = append(p.listeners, l)
+			r.servers = append(r.servers, p.serve(l, link, d))
+			row = append(row, link)
+		}
+		r.links.replicas = append(r.links.replicas, row)
+	}
+	var wg sync.WaitGroup
+	errs := make([]error, n)
+	for d, p := range r.procs {
+		if err := p.configure(); err != nil {
+			return err
+		}
+		wg.Go(func() { errs[d] = p.start(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// close ends all that was started.
+func (r *Run) close() {
+	var wg sync.WaitGroup
+	for _, p := range r.procs {
+		if p != nil {
+			wg.Go(p.stop)
+		}
+	}
+	wg.Wait()
+	for _, s := range r.servers {
+		s.Close()
+	}
+	if r.addrs != nil {
+		r.addrs.lock.Close()
+	}
+}
+
+// play sends the day's traffic and makes its faults, waits until all is answered, and judges.
+func (r *Run) play(ctx context.Context) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.front = newFront(r)
+	var watchers sync.WaitGroup
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	for d := range r.procs {
+		watchers.Go(func() { r.front.watch(watching, d) })
+	}
+	if err := sleep(ctx, 3*checkEvery); err != nil {
+		return nil, err
+	}
+	c := &clients{run: r, idle: map[int][]*conn{}}
+	begin := time.Now()
+	base := r.history.Now()
+	specs := draw(r.scenario, r.options.Seed)
+	results := make([]result, len(specs))
+	var faults, asks sync.WaitGroup
+	rng := rand.New(rand.NewPCG(r.options.Seed, 0xfa17))
+	for _, f := range r.scenario.Faults {
+		targets := r.targets(f, rng)
+		r.logf("fault=%s at=%v for=%v targets=%v", f.Do, f.At, f.For, targets)
+		faults.Go(func() {
+			r.befall(ctx, f, targets, begin)
+			now := r.history.Now()
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.healed = max(r.healed, now)
+			r.spans = append(r.spans, [2]float64{f.At, (now - base).Seconds()})
+		})
+	}
+	for i, s := range specs {
+		if err := sleep(ctx, time.Until(begin.Add(s.at))); err != nil {
+			return nil, err
+		}
+		asks.Go(func() { results[i] = c.ask(ctx, s, rand.New(rand.NewPCG(r.options.Seed, uint64(i)))) })
+	}
+	asks.Wait()
+	if err := sleep(ctx, time.Until(begin.Add(seconds(r.scenario.Seconds)))); err != nil {
+		return nil, err
+	}
+	faults.Wait()
+	sleep(ctx, time.Second) // for what is held to be let go
+	stopWatching()
+	watchers.Wait()
+	c.close()
+	var wg sync.WaitGroup
+	for _, p := range r.procs {
+		wg.Go(p.stop)
+	}
+	wg.Wait()
+	return r.report(results, base, c.made), nil
+}
+
+// targets draws what a fault befalls: numbers of dispatchers or replicas.
+func (r *Run) targets(f Fault, rng *rand.Rand) []int {
+	n := 0
+	switch actions[f.Do] {
+	case "dispatchers":
+		n = len(r.procs)
+	case "replicas":
+		n = len(r.cluster.replicas)
+	case "zone":
+		var out []int
+		for d := range r.procs {
+			if d%r.scenario.Zones == f.Zone {
+				out = append(out, d)
+			}
+		}
+		return out
+	default:
+		return nil
+	}
+	many := max(1, int(math.Round(f.Part*float64(n))))
+	return rng.Perm(n)[:many]
+}
+
+// spacing is the time between the targets of a fault that goes in turn: as the scenario says, but all have had their turn
+// within six tenths of what is left of the day, however many they are.
+func (r *Run) spacing(f Fault, n int) time.Duration {
+	every := seconds(f.Every)
+	if n > 1 {
+		every = min(every, seconds((r.scenario.Seconds-f.At)*0.6)/time.Duration(n-1))
+	}
+	return every
+}
+
+// befall carries out one fault, on all targets at once or in turn.
+func (r *Run) befall(ctx context.Context, f Fault, targets []int, begin time.Time) {
+	if sleep(ctx, time.Until(begin.Add(seconds(f.At)))) != nil {
+		return
+	}
+	lasts := seconds(f.For)
+	switch f.Do {
+	case "discovery-silent":
+		r.discovery.setSilent(true)
+		if f.For > 0 && sleep(ctx, lasts) == nil {
+			r.discovery.setSilent(false)
+		}
+		return
+	case "discovery-late":
+		r.discovery.setLate(lasts)
+		return
+	case "cut-zone":
+		r.cutZone(f.Zone, true)
+		if f.For > 0 && sleep(ctx, lasts) == nil {
+			r.cutZone(f.Zone, false)
+		}
+		return
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	every := r.spacing(f, len(targets))
+	for i, t := range targets {
+		wg.Go(func() {
+			if sleep(ctx, time.Duration(i)*every) == nil {
+				r.befallOne(ctx, f, t, lasts)
+			}
+		})
+	}
+}
+
+func (r *Run) befallOne(ctx context.Context, f Fault, t int, lasts time.Duration) {
+	again := func(do func()) {
+		if f.For > 0 && sleep(ctx, lasts) == nil {
+			do()
+		}
+	}
+	switch f.Do {
+	case "kill":
+		r.procs[t].kill()
+		again(func() { r.procs[t].restart(ctx, 0, f.Forget) })
+	case "term":
+		r.procs[t].term()
+		again(func() { r.procs[t].restart(ctx, 0, f.Forget) })
+	case "pause":
+		r.procs[t].pause(ctx, lasts)
+	case "links", "reset":
+		links := r.linksOf(f.Links, t)
+		c := fault.Condition{Cut: f.DelayMS == 0 && f.Loss == 0 && f.KBPerS == 0, Delay: seconds(f.DelayMS / 1000),
+			Loss: f.Loss, BytesPerS: f.KBPerS * 1000}
+		to, from := c, c // of the parties that listen
+		if dialed := f.Links == "clients" || f.Links == "peers"; f.Way == "to" && dialed || f.Way == "from" && !dialed {
+			from = fault.Condition{}
+		} else if f.Way == "to" || f.Way == "from" {
+			to = fault.Condition{}
+		}
+		for _, l := range links {
+			if f.Do == "reset" {
+				l.Reset()
+				continue
+			}
+			l.Set(to, from)
+		}
+		again(func() {
+			for _, l := range links {
+				l.Set(fault.Condition{}, fault.Condition{})
+			}
+		})
+	case "replica-kill":
+		p := r.cluster.replicas[t]
+		p.kill()
+		r.discovery.set(p, "gone", time.Time{})
+		again(func() {
+			p.revive()
+			r.discovery.set(p, "ready", time.Now())
+		})
+	case "replica-slow":
+		r.cluster.replicas[t].setSlow(f.Factor)
+		again(func() { r.cluster.replicas[t].setSlow(1) })
+	case "replica-drain":
+		r.discovery.set(r.cluster.replicas[t], "draining", time.Time{})
+		again(func() { r.discovery.set(r.cluster.replicas[t], "ready", time.Time{}) })
+	case "replica-flush":
+		r.cluster.replicas[t].flush()
+	}
+}
+
+// linksOf are the links of one kind that a dispatcher has.
+func (r *Run) linksOf(kind string, d int) []*fault.Link {
+	switch kind {
+	case "replicas":
+		return r.links.replicas[d]
+	case "discovery":
+		return r.links.discovery[d : d+1]
+	case "clients":
+		return r.links.clients[d : d+1]
+	}
+	return nil
+}
+
+// cutZone cuts the links between a zone's dispatchers and the replicas of the others, both ways, or heals them.
+func (r *Run) cutZone(zone int, cut bool) {
+	c := fault.Condition{Cut: cut}
+	for d, row := range r.links.replicas {
+		for i, l := range row {
+			if (d%r.scenario.Zones == zone) != (r.cluster.replicas[i].zone == zone) {
+				l.Set(c, c)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/scenario.go
@@ -0,0 +1,178 @@
+// Package rig runs the real program many times over on one machine: stand-ins for replicas, discovery, the front
+// and clients round it, faults between them at seeded times, and a check of the rules over what the stand-ins saw.
+package rig
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path"
+	"slices"
+	"strings"
+	"time"
+)
+
+//go:embed scenarios/*.json
+var builtin embed.FS
+
+// Scenario is a day for a fleet: its traffic, its replicas and what goes wrong. All times are in seconds.
+type Scenario struct {
+	Name    string  `json:"name"`
+	About   string  `json:"about"`
+	Seconds float64 `json:"seconds"` // of traffic
+	Rate    float64 `json:"rate"`    // requests a second
+	Zones   int     `json:"zones"`
+	Readers int     `json:"readers"`
+	Writers int     `json:"writers"`
+	Faults  []Fault `json:"faults"`
+}
+
+// Fault is one thing that goes wrong, and for how long.
+type Fault struct {
+	At  float64 `json:"at"`
+	For float64 `json:"for"` // 0: it does not end
+	Do  string  `json:"do"`
+	// Part is the share of the dispatchers or replicas that it befalls, drawn by the seed; 0: one of them.
+	Part float64 `json:"part"`
+	// Every lets it befall them in turn, so long after one another; 0: all at once.
+	Every float64 `json:"every"`
+	// Zone is the zone that a zone's fault befalls.
+	Zone int `json:"zone"`
+	// Links names the links of a link's fault: replicas, discovery, peers or clients of the dispatchers chosen.
+	Links string `json:"links"`
+	// Way is both, to (the dispatchers) or from (them).
+	Way     string  `json:"way"`
+	DelayMS float64 `json:"delay_ms"`
+	Loss    float64 `json:"loss"`
+	KBPerS  float64 `json:"kb_per_s"`
+	Factor  float64 `json:"factor"` // how many times slower a replica is
+	Forget  bool    `json:"forget"` // a restart loses the stored state
+}
+
+// The actions of a Fault, with what they befall.
+var actions = map[string]string{
+	"kill":             "dispatchers", // SIGKILL; started again after For
+	"pause":            "dispatchers", // SIGSTOP for For
+	"term":             "dispatchers", // SIGTERM, SIGKILL 3.7 s later; started again For after its end
+	"links":            "dispatchers", // Links are cut, late, lossy or slow, as the other words say
+	"reset":            "dispatchers", // Links' connections are reset
+	"cut-zone":         "zone",        // the zone is cut off from the others
+	"discovery-silent": "",            // discovery tells nothing, and answers nobody
+	"discovery-late":   "",            // its changes come For late
+	"replica-kill":     "replicas",    // started again, cold, after For
+	"replica-slow":     "replicas",    // Factor times slower for For
+	"replica-drain":    "replicas",    // draining, and ready again after For
+	"replica-flush":    "replicas",    // kept texts are lost
+}
+
+// Bounds of a scenario; a rig is one machine.
+const (
+	maxSeconds  = 3600
+	maxRate     = 500
+	maxReplicas = 100
+)
+
+// ParseScenario reads a scenario strictly: unknown words and what cannot be are refused.
+func ParseScenario(text []byte) (*Scenario, error) {
+	var s Scenario
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	if d.More() {
+		return nil, errors.New("scenario: more than one object")
+	}
+	switch {
+	case s.Name == "" || strings.ContainsAny(s.Name, "/\\ \n"):
+		return nil, fmt.Errorf("scenario: name %q is no file's name", s.Name)
+	case !(s.Seconds >= 5 && s.Seconds <= maxSeconds):
+		return nil, fmt.Errorf("scenario: seconds %v are not from 5 to %d", s.Seconds, maxSeconds)
+	case !(s.Rate > 0 && s.Rate <= maxRate):
+		return nil, fmt.Errorf("scenario: rate %v is not over 0, up to %d", s.Rate, maxRate)
+	case s.Zones < 1 || s.Zones > 9:
+		return nil, fmt.Errorf("scenario: zones %d are not from 1 to 9", s.Zones)
+	case s.Readers < 1 || s.Writers < 1 || s.Readers+s.Writers > maxReplicas:
+		return nil, fmt.Errorf("scenario: %d readers and %d writers are not from 1 each to %d in all", s.Readers, s.Writers, maxReplicas)
+	}
+	for i, f := range s.Faults {
+		if err := f.check(&s); err != nil {
+			return nil, fmt.Errorf("scenario: fault %d: %w", i, err)
+		}
+	}
+	return &s, nil
+}
+
+func (f *Fault) check(s *Scenario) error {
+	_, known := actions[f.Do]
+	isLink := f.Do == "links" || f.Do == "reset"
+	switch {
+	case !known:
+		return fmt.Errorf("unknown action %q", f.Do)
+	case !(f.At >= 0 && f.At < s.Seconds && f.For >= 0 && f.At+f.For <= s.Seconds):
+		return fmt.Errorf("from %v for %v s is not within the day", f.At, f.For)
+	case !(f.Part >= 0 && f.Part <= 1) || !(f.Every >= 0):
+		return errors.New("part or every is out of range")
+	case f.Zone < 0 || f.Zone >= s.Zones:
+		return fmt.Errorf("zone %d is none", f.Zone)
+	case isLink && !slices.Contains([]string{"replicas", "discovery", "peers", "clients"}, f.Links):
+		return fmt.Errorf("unknown links %q", f.Links)
+	case !isLink && f.Links != "":
+		return fmt.Errorf("%s has no links", f.Do)
+	case !slices.Contains([]string{"", "both", "to", "from"}, f.Way):
+		return fmt.Errorf("unknown way %q", f.Way)
+	case !(f.DelayMS >= 0 && f.DelayMS <= 60_000) || !(f.Loss >= 0 && f.Loss <= 1) || !(f.KBPerS >= 0):
+		return errors.New("delay_ms, loss or kb_per_s is out of range")
+	case f.Do == "replica-slow" && !(f.Factor > 1 && f.Factor <= 100):
+		return fmt.Errorf("factor %v is not over 1, up to 100", f.Factor)
+	}
+	return nil
+}
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+// Scenarios are the built-in ones, by name.
+func Scenarios() ([]*Scenario, error) {
+	names, err := fs.Glob(builtin, "scenarios/*.json")
+	if err != nil {
+		return nil, fmt.Errorf("scenarios: %w", err)
+	}
+	var out []*Scenario
+	for _, name := range names {
+		text, err := builtin.ReadFile(name)
+		if err != nil {
+			return nil, fmt.Errorf("scenarios: %w", err)
+		}
+		s, err := ParseScenario(text)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		if s.Name+".json" != path.Base(name) {
+			return nil, fmt.Errorf("%s: its name is %q", name, s.Name)
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// Load finds a scenario by its built-in name, or in a file.
+func Load(name string) (*Scenario, error) {
+	all, err := Scenarios()
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range all {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("scenario %q is not built in (see fleetrig list) and no file: %w", name, err)
+	}
+	return ParseScenario(text)
+}
--- /dev/null
+++ b/internal/rig/traffic.go
@@ -0,0 +1,106 @@
+package rig
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+)
+
+var quietLog = log.New(io.Discard, "", 0)
+
+// missedPart is the part of a prompt that a reader must read, on the mean: the rest is kept.
+const missedPart = 0.4
+
+// class is one of the deployment's classes as clients of the rig send it.
+type class struct {
+	name     string
+	share    float64 // of the sessions
+	worth    float64
+	safe     bool // may be repeated after any failure
+	aim      time.Duration
+	deadline time.Duration
+	token    time.Duration // the wanted time between tokens
+	prompt   int           // mean tokens,
+	output   int           // also
+	turns    int
+}
+
+var classes = []*class{
+	{"parzellen-frage", 0.8, 1, true, 1200 * time.Millisecond, 5 * time.Second, 60 * time.Millisecond, 2600, 60, 3},
+	{"korrektur-meldung", 0.2, 2, false, 3 * time.Second, 15 * time.Second, 80 * time.Millisecond, 4200, 40, 5},
+}
+
+// spec is one first try, drawn ahead.
+type spec struct {
+	group        string
+	class        *class
+	at           time.Duration // of its arrival
+	zone         int
+	session      string
+	prefix       string
+	prefixTokens int
+	prompt       int
+	output       int // tokens of the answer, which clients do not tell
+	patience     time.Duration
+	body         string
+}
+
+func (s *spec) worth() float64 {
+	return s.class.worth * (float64(s.prompt)/readRate + float64(s.output)*tokenTime.Seconds())
+}
+
+func (s *spec) props() string {
+	p := fmt.Sprintf("prompt_len=%d,max_out=%d", s.prompt, 4*s.class.output)
+	if s.prefix != "" {
+		p += fmt.Sprintf(",prefix=%s,prefix_len=%d", s.prefix, s.prefixTokens)
+	}
+	return p
+}
+
+// draw is a day's first tries by arrival: sessions begin at random, and their turns come at times of their own, whatever
+// becomes of the turns before.
+func draw(s *Scenario, seed uint64) []*spec {
+	rng := rand.New(rand.NewPCG(seed, 0xda7))
+	var out []*spec
+	turns := 0.0
+	for _, c := range classes {
+		turns += c.share * float64(c.turns)
+	}
+	for at := -8.0; at < s.Seconds; at += rng.ExpFloat64() / (s.Rate / turns) {
+		c := classes[0]
+		if rng.Float64() >= c.share {
+			c = classes[1]
+		}
+		session := strconv.FormatUint(rng.Uint64(), 16)
+		prefix, prefixTokens := "", 0
+		if rng.Float64() < 0.8 {
+			n := int(math.Floor(math.Pow(rng.Float64(), 2) * 24)) // some are much more common than others
+			prefix, prefixTokens = fmt.Sprintf("%s%d", c.name[:1], n), c.prompt/2+(n*97)%(c.prompt/2)
+		}
+		tokens := prefixTokens
+		zone := rng.IntN(s.Zones)
+		when := at
+		for range max(1, int(rng.ExpFloat64()*float64(c.turns-1))+1) {
+			tokens += 100 + rng.IntN(c.prompt/4)
+			n := &spec{group: strconv.FormatUint(rng.Uint64(), 16), class: c, at: seconds(when), zone: zone,
+				session: session, prefix: prefix, prefixTokens: prefixTokens, prompt: tokens,
+				output:   8 + int(rng.ExpFloat64()*float64(c.output-8)),
+				patience: time.Duration(float64(c.deadline) * (0.5 + rng.Float64()/2))}
+			n.output = min(n.output, 4*c.output)
+			n.body = fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"%s"}]}`,
+				c.name, 4*c.output, n.group)
+			if when >= 0 && when < s.Seconds {
+				out = append(out, n)
+			}
+			when += 1.5 + rng.ExpFloat64()*3
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *spec) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
