--- a/cmd/fleetrig/main.go
+++ b/cmd/fleetrig/main.go
@@ -87,6 +87,7 @@
 			return nil
 		}}
 	options(c, &o)
+	c.Flags().BoolVar(&o.Fleet, "fleet", false, "let the dispatchers know of each other")
 	c.Flags().StringVar(&keep, "out", "", "keep figures, history, chart and logs in this `folder`")
 	c.Flags().Float64Var(&o.Rate, "rate", 1, "a `factor` on the scenario's rate of requests")
 	return c
--- a/cmd/rampspread/commands.go
+++ b/cmd/rampspread/commands.go
@@ -1,19 +1,16 @@
 package main
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"rampspread/internal/chat"
 	"rampspread/internal/cli"
+	"rampspread/internal/fleet"
 	"rampspread/internal/wire"
 )
 
@@ -28,7 +25,7 @@
 		return nil
 	}, serving.RunE
 	root.Flags().AddFlagSet(serving.Flags())
-	root.AddCommand(serving, checkCommand(out), importCommand(out), callCommand(out),
+	root.AddCommand(serving, checkCommand(out), importCommand(out), callCommand(out), fleetCommand(out),
 		&cobra.Command{Use: "version", Short: "Print the program's version", Args: cli.NoWords, Run: func(*cobra.Command, []string) {
 			fmt.Fprintln(out, "rampspread", version)
 		}})
@@ -36,33 +33,45 @@
 }
 
 // files are the paths of the files that a dispatcher starts with.
-type files struct{ config, chat string }
+type files struct{ config, chat, fleet string }
+
+// checked is what those files say.
+type checked struct {
+	config *wire.Config
+	chat   *chat.Config  // nil: no chat front
+	fleet  *fleet.Config // nil: alone
+}
 
 func (f *files) flags(c *cobra.Command) {
 	c.Flags().StringVar(&f.config, "config", os.Getenv("LB_CONFIG"), "the configuration `file`")
 	c.Flags().StringVar(&f.chat, "chat", "", "the chat front's `file`, such as deploy/chat.json; none: no chat front")
+	c.Flags().StringVar(&f.fleet, "fleet", "", "the fleet's `file`, such as deploy/fleet.json; none: the program knows of no others")
 }
 
 // read reads and checks them all.
-func (f *files) read() (*wire.Config, *chat.Config, error) {
-	cfg, err := load(f.config)
-	if err != nil {
-		return nil, nil, err
+func (f *files) read() (c checked, err error) {
+	if c.config, err = load(f.config); err != nil {
+		return c, err
+	}
+	if c.chat, err = loadChat(f.chat, &c.config.Settings); err != nil {
+		return c, err
+	}
+	if f.fleet != "" {
+		c.fleet, err = fleet.Load(f.fleet, c.config.Name)
 	}
-	chatCfg, err := loadChat(f.chat, &cfg.Settings)
-	return cfg, chatCfg, err
+	return c, err
 }
 
 func serveCommand(on signals, out io.Writer) *cobra.Command {
 	var f files
 	var o options
 	c := &cobra.Command{Use: "serve", Short: "Run one dispatcher", Args: cli.NoWords, RunE: func(c *cobra.Command, _ []string) error {
-		cfg, chatCfg, err := f.read()
+		files, err := f.read()
 		if err != nil {
 			return err
 		}
 		o.config = f.config
-		return serve(c.Context(), cfg, chatCfg, o, on, out)
+		return serve(c.Context(), files, o, on, out)
 	}}
 	f.flags(c)
 	c.Flags().StringVar(&o.xdsAddr, "xds", "", "the `address` at which other proxies get the list by xDS; none: no xDS")
@@ -72,12 +81,13 @@
 func checkCommand(out io.Writer) *cobra.Command {
 	var f files
 	c := &cobra.Command{Use: "check", Short: "Check the files and end", Args: cli.NoWords, RunE: func(*cobra.Command, []string) error {
-		cfg, chatCfg, err := f.read()
+		good, err := f.read()
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "%s: good: %d classes, %d kinds, listens on %s, chat %t\n", f.config,
-			len(cfg.Settings.Classes), len(cfg.Settings.Kinds), cfg.Listen, chatCfg != nil)
+		settings := good.config.Settings
+		fmt.Fprintf(out, "%s: good: %d classes, %d kinds, listens on %s, chat %t, fleet %t\n", f.config,
+			len(settings.Classes), len(settings.Kinds), good.config.Listen, good.chat != nil, good.fleet != nil)
 		return nil
 	}}
 	f.flags(c)
@@ -102,24 +112,11 @@
 	var at string
 	c := &cobra.Command{Use: "call CALL", Short: "Make an operator's call, such as check, drain-on or drain-off",
 		Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
-			conn, err := net.DialTimeout("tcp", at, callWait)
+			text, err := opsCall(at, args[0])
 			if err != nil {
-				return fmt.Errorf("call: %w", err)
-			}
-			defer conn.Close()
-			conn.SetDeadline(time.Now().Add(callWait))
-			if _, err := fmt.Fprintln(conn, args[0]); err != nil {
-				return fmt.Errorf("call: %w", err)
-			}
-			answer, err := bufio.NewReader(conn).ReadString('\n')
-			if err != nil {
-				return fmt.Errorf("call: %w", err)
-			}
-			answer = strings.TrimSpace(answer)
-			if !strings.HasPrefix(answer, "SUCCESS") {
-				return errors.New(answer)
+				return err
 			}
-			fmt.Fprintln(out, answer)
+			fmt.Fprintln(out, "SUCCESS", text)
 			return nil
 		}}
 	c.Flags().StringVar(&at, "at", "127.0.0.1:9600", "the program's ops `address`")
--- /dev/null
+++ b/cmd/rampspread/fleet.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/spf13/cobra"
+
+	"rampspread/internal/fleet"
+	"rampspread/internal/wire"
+)
+
+// fingerprint is the same for the same settings at every process.
+func fingerprint(s *wire.Settings) uint64 {
+	same := *s
+	same.Az = 0 // each zone's own
+	text, err := json.Marshal(same)
+	if err != nil {
+		return 0 // what was read from JSON always marshals
+	}
+	return xxhash.Sum64(text)
+}
+
+// join makes the program a member of the fleet that the file tells of; nil without one.
+func (p *program) join(file *fleet.Config, cfg *wire.Config, seed uint64, failed chan<- error) error {
+	p.settings.Store(fingerprint(&cfg.Settings))
+	if file == nil {
+		return nil
+	}
+	zone := ""
+	if cfg.Settings.Az >= 0 && cfg.Settings.Az < len(cfg.Settings.Zones) {
+		zone = cfg.Settings.Zones[cfg.Settings.Az]
+	}
+	node, err := fleet.Start(file, fleet.Self{Name: cfg.Name, Zone: zone, Version: version, Seed: seed, Facts: func() fleet.Facts {
+		return fleet.Facts{Settings: p.settings.Load(), List: p.watch.Version(), Serving: p.ready.Load() && !p.state.Stopping.Load()}
+	}}, func(err error) { failed <- err })
+	if err != nil {
+		return err
+	}
+	p.fleet = node
+	return nil
+}
+
+// members is the operators' call that shows who is in the fleet, as one line of JSON.
+func (p *program) members() (bool, string) {
+	if p.fleet == nil {
+		return false, "no fleet: the program was started without -fleet"
+	}
+	text, err := json.Marshal(p.fleet.Status())
+	if err != nil {
+		return false, err.Error()
+	}
+	return true, string(text)
+}
+
+// fleetCounters are the fleet's figures in the counters' line.
+func (p *program) fleetCounters() string {
+	if p.fleet == nil {
+		return ""
+	}
+	s := p.fleet.Status()
+	states := map[string]int{}
+	for _, m := range s.Members {
+		states[m.State]++
+	}
+	return fmt.Sprintf(" fleet_view=%d fleet_alive=%d fleet_suspect=%d fleet_unreachable=%d fleet_left=%d fleet_conflicts=%d "+
+		"fleet_bad=%d fleet_stale=%d", s.View, states["alive"], states["suspect"], states["unreachable"], states["left"],
+		len(s.Conflicts), s.Bad, s.Stale)
+}
+
+// opsCall makes one operator's call (docs/ONCALL.md) and returns what follows SUCCESS.
+func opsCall(at, call string) (string, error) {
+	conn, err := net.DialTimeout("tcp", at, callWait)
+	if err != nil {
+		return "", fmt.Errorf("call: %w", err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(callWait))
+	if _, err := fmt.Fprintln(conn, call); err != nil {
+		return "", fmt.Errorf("call: %w", err)
+	}
+	answer, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil {
+		return "", fmt.Errorf("call: %w", err)
+	}
+	answer = strings.TrimSpace(answer)
+	text, ok := strings.CutPrefix(answer, "SUCCESS")
+	if !ok {
+		return "", errors.New(answer)
+	}
+	return strings.TrimSpace(text), nil
+}
+
+// fleetCommand holds what is asked of a fleet by way of one of its members.
+func fleetCommand(out io.Writer) *cobra.Command {
+	var at string
+	var asJSON bool
+	members := &cobra.Command{Use: "members", Short: "Show who is in the fleet, as one member sees it", RunE: func(*cobra.Command, []string) error {
+		text, err := opsCall(at, "members")
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			fmt.Fprintln(out, text)
+			return nil
+		}
+		var s fleet.Status
+		if err := json.Unmarshal([]byte(text), &s); err != nil {
+			return fmt.Errorf("members: %w", err)
+		}
+		return printMembers(out, s)
+	}}
+	members.Flags().StringVar(&at, "at", "127.0.0.1:9600", "a member's ops `address`")
+	members.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	c := &cobra.Command{Use: "fleet", Short: "Ask a member about the fleet"}
+	c.AddCommand(members)
+	return c
+}
+
+func printMembers(out io.Writer, s fleet.Status) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "NAME\tSTATE\tFOR\tHEARD\tZONE\tLIVES\tINCARNATION\tVERSION\tSETTINGS\tLIST\tSKEW")
+	for _, m := range s.Members {
+		fmt.Fprintf(t, "%s\t%s\t%.1fs\t%.1fs\t%s\t%d\t%d\t%s\t%s\t%d\t%dms\n", m.Name, m.State, m.For, m.Heard, m.Zone, m.Lives, m.Incarnation,
+			m.Version, m.Settings, m.List, m.SkewMS)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("members: %w", err)
+	}
+	fmt.Fprintf(out, "fleet %s as %s sees it: view %d, fresh %t, %d messages made no sense, %d were late\n", s.Fleet, s.Self, s.View, s.Fresh, s.Bad, s.Stale)
+	for _, c := range s.Conflicts {
+		fmt.Fprintln(out, "name claimed twice:", c)
+	}
+	return nil
+}
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -26,6 +26,7 @@
 	"rampspread/internal/clients"
 	"rampspread/internal/core"
 	"rampspread/internal/discovery"
+	"rampspread/internal/fleet"
 	"rampspread/internal/ops"
 	"rampspread/internal/servers"
 	"rampspread/internal/wire"
@@ -91,17 +92,19 @@
 
 // program is one running dispatcher.
 type program struct {
-	core    *core.Core
-	pool    *servers.Pool
-	watch   *discovery.Watcher
-	front   *clients.Front
-	chat    *chat.Front // nil without one
-	bodies  *semaphore.Weighted
-	state   clients.State
-	ready   atomic.Bool // the client listeners take connections
-	guards  []*clients.Guard
-	servers []*http.Server
-	classes wire.Classes // the module's classes; only reload changes them, in one goroutine
+	core     *core.Core
+	pool     *servers.Pool
+	watch    *discovery.Watcher
+	front    *clients.Front
+	chat     *chat.Front // nil without one
+	bodies   *semaphore.Weighted
+	state    clients.State
+	ready    atomic.Bool // the client listeners take connections
+	guards   []*clients.Guard
+	servers  []*http.Server
+	fleet    *fleet.Node   // nil: alone
+	settings atomic.Uint64 // fingerprint of the settings in force
+	classes  wire.Classes  // the module's classes; only reload changes them, in one goroutine
 }
 
 // options are what the command line says of a dispatcher besides its files' content.
@@ -111,7 +114,8 @@
 }
 
 // serve is one dispatcher, from its start to its orderly end.
-func serve(ctx context.Context, cfg *wire.Config, chatCfg *chat.Config, o options, on signals, out io.Writer) error {
+func serve(ctx context.Context, files checked, o options, on signals, out io.Writer) error {
+	cfg, chatCfg := files.config, files.chat
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	memory := int64(256 << 20)
 	if cfg.Limits.MemoryMB > 0 {
@@ -136,7 +140,7 @@
 	if p.core, err = core.New(router, seed, p.pool); err != nil {
 		return err
 	}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	publish := p.core.Roster
 	if o.xdsAddr != "" {
 		proxies := xds.New(&cfg.Settings)
@@ -201,8 +205,14 @@
 		}
 	}
 	p.ready.Store(true)
+	if err := p.join(files.fleet, cfg, seed, failed); err != nil {
+		return err
+	}
+	if p.fleet != nil {
+		defer p.fleet.Close()
+	}
 	if cfg.Ops != "" {
-		calls := ops.New(map[string]ops.Call{"check": p.check, "drain-on": p.drainOn, "drain-off": p.drainOff},
+		calls := ops.New(map[string]ops.Call{"check": p.check, "drain-on": p.drainOn, "drain-off": p.drainOff, "members": p.members},
 			slog.Default())
 		listener, err := net.Listen("tcp", cfg.Ops)
 		if err != nil {
@@ -248,6 +258,7 @@
 		return
 	}
 	p.classes = next
+	p.settings.Store(fingerprint(&cfg.Settings))
 	p.front.SetClasses(next.Names)
 	names := slices.Sorted(maps.Keys(next.Names))
 	slog.Info("reloaded", "discovery", cfg.Discovery, "classes", strings.Join(names, ","), "attempts", next.Config.MaxAttempts)
@@ -277,6 +288,9 @@
 func (p *program) drain() error {
 	slog.Info("draining")
 	p.state.Stopping.Store(true)
+	if p.fleet != nil {
+		go p.fleet.Leave()
+	}
 	time.Sleep(lameDuck)
 	for _, s := range p.servers {
 		s.SetKeepAlivesEnabled(false)
@@ -365,5 +379,5 @@
 	slices.Sort(outcomes)
 	return fmt.Sprintf("event=counters taken=%d open=%d servers=%d sent=%d probed=%d released=%d served=%d broken=%d refused=%d failed=%d "+
 		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Probed, n.Released,
-		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), strings.Join(outcomes, ""))
+		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), strings.Join(outcomes, "")+p.fleetCounters())
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -100,6 +100,9 @@
 // Bad is how many lines and entries made no sense.
 func (w *Watcher) Bad() int64 { return w.bad.Load() }
 
+// Version is the version of the list that was told last.
+func (w *Watcher) Version() uint64 { return w.version.Load() }
+
 // Apply hands on a list, entry by entry: what makes no sense is counted and skipped. The watch goes on after it.
 func (w *Watcher) Apply(l List, full bool) {
 	out := make([]core.Listing, 0, len(l.Instances))
--- /dev/null
+++ b/internal/fleet/config.go
@@ -0,0 +1,145 @@
+// Package fleet is a process's membership in the fleet: who else is there, by gossip over memberlist. It does the
+// I/O; what is made of what was heard is decided in view. The core never waits for any of it.
+package fleet
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+)
+
+// Config is an operator's file, deploy/fleet.json.
+type Config struct {
+	// Fleet names the deployment. Packets of another fleet are passed over.
+	Fleet string `json:"fleet"`
+	// Key seals and authenticates what members say (AES-GCM): 16, 24 or 32 bytes in hex, the same for all.
+	Key string `json:"key"`
+	// Listen is where this process takes the others' packets (UDP) and calls (TCP), and where it sends from. None: its
+	// own address on the list.
+	Listen string `json:"listen"`
+	// Members are all who may be in the fleet, this process among them.
+	Members []Peer `json:"members"`
+	// ProbeMS is how often a member looks whether another is there, in ms; 0: defaultProbe. The time to find one
+	// gone grows with it.
+	ProbeMS int `json:"probe_ms"`
+
+	key   []byte
+	probe time.Duration
+}
+
+// Peer is one name that may be in the fleet, and the address at which others reach it.
+type Peer struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+const (
+	defaultProbe = 250 * time.Millisecond
+	maxMembers   = 1000
+	maxName      = 64
+)
+
+// Load reads and checks an operator's file for the process of that name.
+func Load(path, name string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	c, err := Parse(text, name)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a file strictly: unknown keys and whatever cannot work are refused.
+func Parse(text []byte, name string) (*Config, error) {
+	var c Config
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	if d.More() {
+		return nil, errors.New("fleet: more than one object")
+	}
+	key, err := hex.DecodeString(c.Key)
+	if err != nil {
+		return nil, errors.New("fleet: key is not in hex")
+	}
+	switch {
+	case c.Fleet == "" || len(c.Fleet) > maxName:
+		return nil, fmt.Errorf("fleet: the fleet's name has %d bytes, not from 1 to %d", len(c.Fleet), maxName)
+	case len(key) != 16 && len(key) != 24 && len(key) != 32:
+		return nil, fmt.Errorf("fleet: key has %d bytes, not 16, 24 or 32", len(key))
+	case c.ProbeMS != 0 && (c.ProbeMS < 50 || c.ProbeMS > 10_000):
+		return nil, fmt.Errorf("fleet: probe_ms %d is not from 50 to 10000", c.ProbeMS)
+	case len(c.Members) > maxMembers:
+		return nil, fmt.Errorf("fleet: %d members, at most %d", len(c.Members), maxMembers)
+	}
+	c.key, c.probe = key, time.Duration(c.ProbeMS)*time.Millisecond
+	if c.probe == 0 {
+		c.probe = defaultProbe
+	}
+	names, addrs := map[string]bool{}, map[string]bool{}
+	for i, m := range c.Members {
+		if m.Name == "" || len(m.Name) > maxName {
+			return nil, fmt.Errorf("fleet: member %d: its name has %d bytes, not from 1 to %d", i, len(m.Name), maxName)
+		}
+		if names[m.Name] || addrs[m.Address] {
+			return nil, fmt.Errorf("fleet: member %q: its name or address %s stands twice", m.Name, m.Address)
+		}
+		names[m.Name], addrs[m.Address] = true, true
+		if err := private(m.Address); err != nil {
+			return nil, fmt.Errorf("fleet: member %q: %w", m.Name, err)
+		}
+		if m.Name == name && c.Listen == "" {
+			c.Listen = m.Address
+		}
+	}
+	if !names[name] {
+		return nil, fmt.Errorf("fleet: this process's name %q is not on the list of members", name)
+	}
+	if err := private(c.Listen); err != nil {
+		return nil, fmt.Errorf("fleet: listen: %w", err)
+	}
+	return &c, nil
+}
+
+// private refuses addresses that are not of a machine's or a site's own network.
+func private(addr string) error {
+	a, err := netip.ParseAddrPort(addr)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%q is no address with a port", addr)
+	case a.Port() == 0:
+		return fmt.Errorf("%s has no port", addr)
+	case !a.Addr().IsLoopback() && !a.Addr().IsPrivate():
+		return fmt.Errorf("%s is no loopback or private address", addr)
+	}
+	return nil
+}
+
+// address is where others reach a name.
+func (c *Config) address(name string) string {
+	for _, m := range c.Members {
+		if m.Name == name {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// names are all that may be in the fleet.
+func (c *Config) names() []string {
+	out := make([]string, len(c.Members))
+	for i, m := range c.Members {
+		out[i] = m.Name
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"rampspread/internal/fleet/view"
+	"rampspread/internal/testkit"
+)
+
+const key = "000102030405060708090a0b0c0d0e0f"
+
+// addr is an address of this test's own: peers send from the address that they listen at.
+func addr(host int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:7946", 224+pid>>15&15, pid>>7&255, 1+host)
+}
+
+func file(fleetName, keyText string, hosts ...int) string {
+	var members []string
+	for _, h := range hosts {
+		members = append(members, fmt.Sprintf(`{"name":"n%d","address":%q}`, h%100, addr(h)))
+	}
+	return fmt.Sprintf(`{"fleet":%q,"key":%q,"probe_ms":100,"members":[%s]}`, fleetName, keyText, strings.Join(members, ","))
+}
+
+// start starts the member of that host.
+func start(t *testing.T, text string, host int, failed func(error)) *Node {
+	t.Helper()
+	c, err := Parse([]byte(text), fmt.Sprint("n", host%100))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if failed == nil {
+		failed = func(err error) { t.Errorf("member %d: %v", host, err) }
+	}
+	n, err := Start(c, Self{Name: fmt.Sprint("n", host%100), Zone: "wien", Version: "1", Seed: uint64(host),
+		Facts: func() Facts { return Facts{Settings: 7, List: 41, Serving: true} }}, failed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n
+}
+
+func state(n *Node, name string) view.State {
+	for _, m := range n.View().Members {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return view.Unknown
+}
+
+func comes(t *testing.T, n *Node, name string, want view.State) {
+	t.Helper()
+	testkit.Eventually(t, fmt.Sprintf("%s as %s at %s", name, want, n.self.Name), func() bool { return state(n, name) == want })
+}
+
+func TestFileIsChecked(t *testing.T) {
+	good := file("f", key, 0, 1, 2)
+	if c, err := Parse([]byte(good), "n1"); err != nil || c.Listen != addr(1) || c.probe != 100*time.Millisecond {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	for _, c := range [][2]string{
+		{`"fleet"`, `"flee"`}, {`"fleet":"f"`, `"fleet":""`}, {key, key + "00"}, {key, "xyz"}, {`"n0"`, `"n2"`}, {`"n0"`, `""`},
+		{addr(0), addr(1)}, {addr(0), "8.8.8.8:7946"}, {addr(0), "0.0.0.0:7946"}, {addr(0), "host:7946"}, {addr(0), "127.0.0.1:0"},
+		{`"n1"`, `"other"`}, {`"probe_ms":100`, `"probe_ms":1`}, {`"probe_ms":100`, `"listen":"[::]:1"`}, {`]}`, `]} {}`}, {`]}`, `]`},
+	} {
+		if _, err := Parse([]byte(strings.Replace(good, c[0], c[1], 1)), "n1"); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: %v", c[1], c[0], err)
+		}
+	}
+}
+
+// Members find each other with the first on the list missing, see one that dies and one that leaves, and take one back
+// under its name as a new life. A word of the old life changes nothing.
+func TestComingAndGoing(t *testing.T) {
+	text := file("f", key, 10, 11, 12, 13)
+	one, two := start(t, text, 11, nil), start(t, text, 12, nil)
+	three := start(t, text, 13, nil)
+	for _, n := range []*Node{one, two, three} {
+		for _, name := range []string{"n11", "n12", "n13"} {
+			comes(t, n, name, view.Alive)
+		}
+		testkit.Eventually(t, "a fresh view", func() bool { return n.View().Fresh(n.Now(), FreshFor) })
+	}
+	if s := one.Status(); s.Members[2].List != 41 || s.Members[2].Zone != "wien" || state(one, "n10") != view.Unknown {
+		t.Errorf("%+v", s)
+	}
+	three.Leave()
+	comes(t, one, "n13", view.Left)
+	comes(t, two, "n13", view.Left)
+	old := two.info
+	two.stop()
+	<-two.done
+	two.list.Shutdown() // dies without a word
+	comes(t, one, "n12", view.Unreachable)
+	again := start(t, text, 12, nil)
+	comes(t, one, "n12", view.Alive)
+	comes(t, again, "n11", view.Alive)
+	one.NotifyMsg(encode(view.Info{Name: "n12", Incarnation: old.Incarnation, Leaving: true}, 1))
+	if m := one.Status().Members[2]; m.State != "alive" || m.Lives != 2 || m.Incarnation <= old.Incarnation || one.Status().Stale == 0 {
+		t.Errorf("after the old life's word: %+v", one.Status())
+	}
+}
+
+// A life that comes back with a clock that went back takes a higher incarnation than the one the others know.
+func TestClockThatWentBack(t *testing.T) {
+	text := file("f", key, 20, 21)
+	one, two := start(t, text, 20, nil), start(t, text, 21, nil)
+	comes(t, one, "n21", view.Alive)
+	ahead := two.info.Incarnation + 30_000
+	one.mu.Lock()
+	one.table.Joined(view.Info{Name: "n21", Incarnation: ahead, Serving: true}, one.now())
+	one.publish()
+	one.mu.Unlock()
+	two.list.Join([]string{addr(20)}) // an exchange of all that both know
+	testkit.Eventually(t, "a higher incarnation", func() bool {
+		return one.Status().Members[1].Incarnation > ahead && state(one, "n21") == view.Alive
+	})
+}
+
+// Two fleets never merge: not with another name, and not with another key.
+func TestTwoFleets(t *testing.T) {
+	one := start(t, file("f", key, 30, 31, 32), 30, nil)
+	named := start(t, file("g", key, 30, 31, 32), 31, nil)
+	keyed := start(t, file("f", strings.Repeat("ab", 16), 30, 31, 32), 32, nil)
+	testkit.Eventually(t, "refused packets", func() bool { return one.Bad() > 0 })
+	for range 3 {
+		for _, n := range []*Node{named, keyed} {
+			n.list.Join([]string{addr(30)})
+			one.list.Join([]string{n.cfg.address(n.self.Name)})
+		}
+	}
+	for _, n := range []*Node{one, named, keyed} {
+		if c := n.View().Counting(); len(c) != 1 {
+			t.Errorf("%s counts %v", n.self.Name, c)
+		}
+	}
+}
+
+// A name that is in use is refused to the second process, and shown.
+func TestNameTwice(t *testing.T) {
+	text := file("f", key, 40, 41)
+	one := start(t, text, 40, nil)
+	first := start(t, text, 41, nil)
+	comes(t, one, "n41", view.Alive)
+	refused := make(chan error, 1)
+	start(t, file("f", key, 40, 141), 141, func(err error) { refused <- err })
+	if err := <-refused; !errors.Is(err, ErrTwice) || !strings.Contains(err.Error(), addr(41)) {
+		t.Errorf("refused with %v", err)
+	}
+	if state(one, "n41") != view.Alive || state(first, "n40") != view.Alive {
+		t.Error("the first process lost its place")
+	}
+}
+
+// Garbage, cut and replayed packets on the peer port are counted and passed over.
+func TestGarbageAndReplay(t *testing.T) {
+	text := file("f", key, 50, 51)
+	one, two := start(t, text, 50, nil), start(t, text, 51, nil)
+	comes(t, one, "n51", view.Alive)
+	comes(t, two, "n50", view.Alive)
+	u, err := net.Dial("udp", addr(50))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	for _, text := range testkit.Broken(5, "\xf4\x01fgarbage", string(encode(two.info, 5))) {
+		u.Write([]byte(text))
+		if c, err := net.Dial("tcp", addr(50)); err == nil {
+			c.Write([]byte(text))
+			c.Close()
+		}
+	}
+	testkit.Eventually(t, "the count", func() bool { return one.Bad() > 10 })
+	before := one.View().Number
+	for range 50 { // the same beat, again and again, from a life that has ended
+		one.NotifyMsg(encode(view.Info{Name: "n51", Incarnation: two.info.Incarnation - 1}, 1))
+	}
+	if v := one.View(); v.Number != before || state(one, "n51") != view.Alive {
+		t.Errorf("view %d after %d", v.Number, before)
+	}
+}
+
+// What members say survives the wire, later programs' fields are passed over, and garbage never panics or is taken.
+func FuzzDecode(f *testing.F) {
+	in := view.Info{Name: "n1", Zone: "wien", Incarnation: 9, Started: time.UnixMilli(1e12), Version: "1", Settings: 7, List: 41, Serving: true}
+	text := encode(in, 5)
+	if got, sent, err := decode(append(text, 0xa2, 0x06, 1, 'x')); err != nil || sent != 5 || got != in {
+		f.Errorf("%+v, %d, %v", got, sent, err)
+	}
+	long := in
+	long.Name, long.Zone, long.Version = strings.Repeat("n", 99), strings.Repeat("z", 99), strings.Repeat("v", 99)
+	if n := len(encode(long, 1<<62)); n > maxMessage {
+		f.Errorf("a message of %d bytes", n)
+	}
+	for _, s := range testkit.Broken(3, string(text)) {
+		f.Add([]byte(s))
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	f.Add(make([]byte, rng.IntN(2000)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		i, _, err := decode(b)
+		if err == nil && (i.Name == "" || i.Incarnation == 0 || len(i.Name) > maxText) {
+			t.Errorf("%q was taken as %+v", b, i)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,487 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"rampspread/internal/fleet/view"
+)
+
+const (
+	tick = 100 * time.Millisecond // between looks at what changed
+	// A member sends its beat to fanout others, a part of the fleet after the other, so that what one sends does not
+	// grow with the fleet.
+	beatEvery = 500 * time.Millisecond
+	fanout    = 8
+	// A pause of the process that others would notice.
+	gap = 800 * time.Millisecond
+	// FreshFor is how old a view may be for a decision to rest on it.
+	FreshFor = gap
+	// Those that are missing are called upon one at a time: after a long partition nobody else would.
+	rejoinEvery = 2 * time.Second
+	firstCalls  = 3 // of the others, at the start
+	leaveWait   = 400 * time.Millisecond
+	suspectMult = 4
+	goodbyes    = 2 // datagrams get lost
+	goodbyeWait = 30 * time.Millisecond
+)
+
+// Facts are what a process tells of itself that changes while it runs.
+type Facts struct {
+	Settings uint64 // fingerprint of the settings in force
+	List     uint64 // version of discovery's list
+	Serving  bool
+}
+
+// Self is what a process tells of itself for good.
+type Self struct {
+	Name    string
+	Zone    string
+	Version string
+	// Facts is asked often, from the node's own goroutine; it must not block.
+	Facts func() Facts
+	Seed  uint64
+}
+
+// Node is this process in the fleet. Its goroutines stop by Close.
+type Node struct {
+	cfg   *Config
+	self  Self
+	start time.Time // of the clock that only advances
+	list  *memberlist.Memberlist
+	rng   *rand.Rand // only run uses it
+	bad   atomic.Int64
+	beats atomic.Int64
+	view  atomic.Pointer[view.View]
+	left  atomic.Bool
+	skews sync.Map // name -> time.Duration, by the last beat
+	done  chan struct{}
+	stop  context.CancelFunc
+
+	failed func(error)
+	twice  sync.Once
+
+	mu    sync.Mutex
+	table *view.Table
+	info  view.Info // what it tells of itself now
+}
+
+// ErrTwice says that another process of the same name is in the fleet.
+var ErrTwice = errors.New("fleet: the name is in use")
+
+// Start listens for the others and returns; they are called upon for as long as the node runs. Failed is called once, with
+// ErrTwice, if a member that this process calls upon knows a living one of the same name at another address.
+func Start(cfg *Config, self Self, failed func(error)) (*Node, error) {
+	n := &Node{cfg: cfg, self: self, start: time.Now(), done: make(chan struct{}), failed: failed,
+		rng: rand.New(rand.NewPCG(self.Seed, 0xf1ee7))}
+	f := self.Facts()
+	n.info = view.Info{Name: self.Name, Zone: self.Zone, Incarnation: uint64(n.start.UnixMilli()), Started: n.start, Version: self.Version,
+		Settings: f.Settings, List: f.List, Serving: f.Serving}
+	cycle := func(size int) time.Duration { return beatEvery * time.Duration(max(1, (size-1+fanout-1)/fanout)) }
+	n.table = view.New(n.info, cfg.names(), view.Limits{Sign: cycle, SuspectAfter: 3, Gap: gap}, n.now())
+	n.publish()
+	logger := log.New(&logLines{n}, "", 0)
+	t, err := newTransport(cfg.Listen, logger)
+	if err != nil {
+		return nil, err
+	}
+	at, err := netip.ParseAddrPort(cfg.address(self.Name))
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	m := memberlist.DefaultLANConfig()
+	m.Name, m.Label, m.SecretKey = self.Name, cfg.Fleet, cfg.key
+	m.Transport = t
+	m.AdvertiseAddr, m.AdvertisePort = at.Addr().String(), int(at.Port())
+	m.ProbeInterval, m.ProbeTimeout = cfg.probe, cfg.probe*3/5
+	m.SuspicionMult, m.SuspicionMaxTimeoutMult = suspectMult, 2
+	m.GossipInterval, m.GossipToTheDeadTime = cfg.probe*2/5, 40*cfg.probe
+	m.PushPullInterval, m.TCPTimeout = 20*cfg.probe, 4*cfg.probe
+	m.EnableCompression = false // what is said is small
+	m.Delegate, m.Events, m.Conflict, m.Merge = n, n, n, n
+	m.Logger = logger
+	// A name that was given up may come back at once, from wherever the list says that it is.
+	m.DeadNodeReclaimTime = time.Millisecond
+	if n.list, err = memberlist.Create(m); err != nil {
+		t.Shutdown()
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go n.run(ctx)
+	return n, nil
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// Now is the time of the views' clock.
+func (n *Node) Now() time.Duration { return n.now() }
+
+// View is who is there, as last published. Whoever acts on it asks Fresh first.
+func (n *Node) View() view.View { return *n.view.Load() }
+
+// Bad is how many messages made no sense, or were not from this fleet.
+func (n *Node) Bad() int64 { return n.bad.Load() }
+
+// others are the addresses of the others on the list.
+func (n *Node) others() []string {
+	var out []string
+	for _, m := range n.cfg.Members {
+		if m.Name != n.self.Name {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
+// publish hands out a view; the caller holds the lock, or is alone.
+func (n *Node) publish() {
+	v := n.table.View()
+	n.view.Store(&v)
+}
+
+// hear gives the table an event.
+func (n *Node) hear(f func(t *view.Table, now time.Duration)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f(n.table, n.now())
+	if n.table.Changed() {
+		n.publish()
+	}
+}
+
+// run looks after the table, tells of itself and calls upon the missing, until the context ends.
+func (n *Node) run(ctx context.Context) {
+	defer close(n.done)
+	others := n.others()
+	n.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, to := range others[:min(firstCalls, len(others))] {
+		go n.list.Join([]string{to}) // one that is not there yet is called upon later
+	}
+	ticks := time.NewTicker(tick)
+	defer ticks.Stop()
+	nextBeat, nextCall := n.now(), n.now()
+	at := n.rng.IntN(len(n.cfg.Members))
+	for {
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return
+		}
+		now := n.now()
+		n.mu.Lock()
+		n.table.Tick(now)
+		n.table.Changed()
+		n.publish()
+		n.mu.Unlock()
+		if n.refresh() {
+			n.list.UpdateNode(leaveWait) // told by gossip; a time-out here loses nothing
+		}
+		if now >= nextBeat {
+			nextBeat = now + beatEvery
+			at = n.beat(at)
+		}
+		if now >= nextCall {
+			// Drawn, so that the members do not call in step.
+			nextCall = now + rejoinEvery/2 + time.Duration(n.rng.Int64N(int64(rejoinEvery)))
+			n.callMissing()
+		}
+	}
+}
+
+// refresh brings what this process tells of itself up to date, and says whether it changed.
+func (n *Node) refresh() bool {
+	f := n.self.Facts()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	next := n.info
+	next.Settings, next.List, next.Serving = f.Settings, f.List, f.Serving && !next.Leaving
+	if next == n.info {
+		return false
+	}
+	// A new list alone goes with the next beat: discovery changes often, and all members would gossip of it at once.
+	told := next.Settings != n.info.Settings || next.Serving != n.info.Serving
+	n.info = next
+	n.table.Self(next, n.now())
+	return told
+}
+
+// beat sends a sign of life to the next of the members that are there.
+func (n *Node) beat(at int) int {
+	n.mu.Lock()
+	msg := encode(n.info, time.Now().UnixMilli())
+	n.mu.Unlock()
+	nodes := n.list.Members()
+	slices.SortFunc(nodes, func(a, b *memberlist.Node) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	for range min(fanout, len(nodes)) {
+		at = (at + 1) % len(nodes)
+		if to := nodes[at]; to.Name != n.self.Name {
+			if n.list.SendBestEffort(to, msg) == nil {
+				n.beats.Add(1)
+			}
+		}
+	}
+	return at
+}
+
+// callMissing calls upon one of those that are not there, so that sides of a partition find each other again.
+func (n *Node) callMissing() {
+	if n.left.Load() {
+		return
+	}
+	v := n.View()
+	var missing []string
+	for _, m := range v.Members {
+		if m.Name != n.self.Name && (m.State == view.Unknown || m.State == view.Unreachable || m.State == view.Left) {
+			missing = append(missing, n.cfg.address(m.Name))
+		}
+	}
+	if len(missing) == 0 {
+		return
+	}
+	to := missing[n.rng.IntN(len(missing))]
+	go n.list.Join([]string{to}) // it waits for a connection; one that is not there costs TCPTimeout
+}
+
+// Leave tells the others that this process goes. It waits a short time for them to hear it.
+func (n *Node) Leave() {
+	if n.left.Swap(true) {
+		return
+	}
+	n.mu.Lock()
+	n.info.Leaving, n.info.Serving = true, false
+	n.table.Self(n.info, n.now())
+	n.publish()
+	n.mu.Unlock()
+	// By gossip the news that it is gone may overtake the news that it goes, so it says goodbye to each as well.
+	for range goodbyes {
+		n.mu.Lock()
+		msg := encode(n.info, time.Now().UnixMilli())
+		n.mu.Unlock()
+		for _, to := range n.list.Members() {
+			if to.Name != n.self.Name {
+				n.list.SendBestEffort(to, msg)
+			}
+		}
+		time.Sleep(goodbyeWait)
+	}
+	if err := n.list.Leave(leaveWait); err != nil {
+		slog.Warn("fleet_leave", "err", err)
+	}
+}
+
+// Close ends the node's goroutines and connections.
+func (n *Node) Close() {
+	n.stop()
+	<-n.done
+	if err := n.list.Shutdown(); err != nil {
+		slog.Warn("fleet_close", "err", err)
+	}
+}
+
+// NodeMeta implements memberlist.Delegate.
+func (n *Node) NodeMeta(limit int) []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := encode(n.info, 0)
+	return b[:min(len(b), limit)] // fields are bounded so that it always fits
+}
+
+// NotifyMsg implements memberlist.Delegate: a beat came.
+func (n *Node) NotifyMsg(b []byte) {
+	i, sent, err := decode(b)
+	if err != nil {
+		n.bad.Add(1)
+		return
+	}
+	if sent > 0 && n.cfg.address(i.Name) != "" {
+		n.skews.Store(i.Name, time.UnixMilli(sent).Sub(time.Now()))
+	}
+	n.hear(func(t *view.Table, now time.Duration) { t.Sign(i, now) })
+}
+
+// GetBroadcasts implements memberlist.Delegate; beats go straight to their receivers.
+func (n *Node) GetBroadcasts(int, int) [][]byte { return nil }
+
+// known is what a member tells another of a name when they exchange all that they know.
+type known struct {
+	Name        string `json:"n"`
+	Incarnation uint64 `json:"i"`
+}
+
+// maxKnown bounds what is read of another's list.
+const maxKnown = 128 << 10
+
+// LocalState implements memberlist.Delegate: the latest incarnation of each name, so that one that comes back without
+// memory, and with a clock that went back, takes a higher one.
+func (n *Node) LocalState(bool) []byte {
+	var out []known
+	for _, m := range n.View().Members {
+		if m.Incarnation > 0 {
+			out = append(out, known{m.Name, m.Incarnation})
+		}
+	}
+	b, err := json.Marshal(out)
+	if err != nil {
+		return nil // strings and numbers always marshal
+	}
+	return b
+}
+
+// MergeRemoteState implements memberlist.Delegate.
+func (n *Node) MergeRemoteState(b []byte, _ bool) {
+	var in []known
+	if len(b) > maxKnown || json.Unmarshal(b, &in) != nil {
+		n.bad.Add(1)
+		return
+	}
+	for _, k := range in {
+		if k.Name != n.self.Name {
+			continue
+		}
+		n.mu.Lock()
+		if k.Incarnation > n.info.Incarnation {
+			n.info.Incarnation = k.Incarnation + 1
+			n.table.Self(n.info, n.now())
+			n.publish()
+		}
+		n.mu.Unlock()
+	}
+}
+
+// member reads what a node tells of itself.
+func (n *Node) member(node *memberlist.Node) (view.Info, bool) {
+	i, _, err := decode(node.Meta)
+	if err != nil || i.Name != node.Name {
+		n.bad.Add(1)
+		return i, false
+	}
+	return i, true
+}
+
+// NotifyJoin implements memberlist.EventDelegate.
+func (n *Node) NotifyJoin(node *memberlist.Node) {
+	if i, ok := n.member(node); ok {
+		n.hear(func(t *view.Table, now time.Duration) { t.Joined(i, now) })
+	}
+}
+
+// NotifyUpdate implements memberlist.EventDelegate.
+func (n *Node) NotifyUpdate(node *memberlist.Node) { n.NotifyJoin(node) }
+
+// NotifyLeave implements memberlist.EventDelegate.
+func (n *Node) NotifyLeave(node *memberlist.Node) {
+	if i, ok := n.member(node); ok {
+		n.hear(func(t *view.Table, now time.Duration) { t.Lost(i.Name, i.Incarnation, now) })
+	}
+}
+
+// NotifyConflict implements memberlist.ConflictDelegate: the other is passed over.
+func (n *Node) NotifyConflict(existing, other *memberlist.Node) {
+	slog.Warn("fleet_conflict", "name", existing.Name, "address", existing.Address(), "other", other.Address())
+	n.hear(func(t *view.Table, now time.Duration) { t.Claimed(other.Name, other.Address(), now) })
+}
+
+// NotifyMerge implements memberlist.MergeDelegate: two processes of one name do not meet in one fleet.
+func (n *Node) NotifyMerge(peers []*memberlist.Node) error {
+	own := n.cfg.address(n.self.Name)
+	for _, p := range peers {
+		if p.Name == n.self.Name && p.State == memberlist.StateAlive && p.Address() != own {
+			err := fmt.Errorf("%w: %q is at %s", ErrTwice, p.Name, p.Address())
+			n.twice.Do(func() { n.failed(err) })
+			return err
+		}
+	}
+	return nil
+}
+
+// logLines turns memberlist's log into ours. What cannot be read or is not of this fleet shows only there.
+type logLines struct{ n *Node }
+
+var badLines = [][]byte{[]byte("failed to receive"), []byte("Decrypt packet failed"), []byte("label"), []byte("UDP packet too short"), []byte("Got invalid checksum"),
+	[]byte("Msg type"), []byte("Failed to decode"), []byte("failed to decode"), []byte("unpack")}
+
+// Write implements io.Writer.
+func (l *logLines) Write(b []byte) (int, error) {
+	line := bytes.TrimSpace(b)
+	for _, bad := range badLines {
+		if bytes.Contains(line, bad) {
+			l.n.bad.Add(1)
+			slog.Debug("fleet_bad", "line", string(line))
+			return len(b), nil
+		}
+	}
+	level := slog.LevelDebug
+	if bytes.Contains(line, []byte("[ERR]")) {
+		level = slog.LevelInfo
+	}
+	slog.Log(context.Background(), level, "fleet", "line", string(line))
+	return len(b), nil
+}
+
+// Status is what operators are shown.
+type Status struct {
+	Fleet     string         `json:"fleet"`
+	Self      string         `json:"self"`
+	View      uint64         `json:"view"`
+	Fresh     bool           `json:"fresh"`
+	Members   []MemberStatus `json:"members"`
+	Conflicts []string       `json:"conflicts,omitempty"`
+	Bad       int64          `json:"bad"`
+	Stale     int64          `json:"stale"`
+	Strangers int64          `json:"strangers"`
+}
+
+// MemberStatus is a member as operators are shown it. Times are in seconds before now.
+type MemberStatus struct {
+	Name        string  `json:"name"`
+	State       string  `json:"state"`
+	For         float64 `json:"for_s"`
+	Heard       float64 `json:"heard_s"`
+	Zone        string  `json:"zone"`
+	Incarnation uint64  `json:"incarnation"`
+	Lives       int     `json:"lives"`
+	Started     string  `json:"started,omitempty"`
+	Version     string  `json:"version"`
+	Settings    string  `json:"settings"`
+	List        uint64  `json:"list"`
+	SkewMS      int64   `json:"skew_ms"` // of its clock against ours, and the way of its beat
+}
+
+// Status is who is there, for operators.
+func (n *Node) Status() Status {
+	now := n.now()
+	v := n.View()
+	n.mu.Lock()
+	out := Status{Fleet: n.cfg.Fleet, Self: n.self.Name, View: v.Number, Fresh: v.Fresh(now, FreshFor), Bad: n.bad.Load(),
+		Stale: n.table.Stale(), Strangers: n.table.Strangers()}
+	n.mu.Unlock()
+	for _, m := range v.Members {
+		s := MemberStatus{Name: m.Name, State: m.State.String(), For: (now - m.Since).Seconds(), Heard: (now - m.Heard).Seconds(),
+			Zone: m.Zone, Incarnation: m.Incarnation, Lives: m.Lives, Version: m.Version, Settings: fmt.Sprintf("%016x", m.Settings), List: m.List}
+		if m.Incarnation > 0 {
+			s.Started = m.Started.UTC().Format(time.RFC3339)
+		}
+		if skew, ok := n.skews.Load(m.Name); ok {
+			s.SkewMS = skew.(time.Duration).Milliseconds()
+		}
+		out.Members = append(out.Members, s)
+	}
+	for _, c := range v.Conflicts {
+		out.Conflicts = append(out.Conflicts, c.Name+" at "+c.Address)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rig/fleet.go
@@ -0,0 +1,209 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"rampspread/internal/fleet"
+	"rampspread/internal/rig/fault"
+	"rampspread/internal/rig/history"
+)
+
+// peers are the links between the dispatchers themselves, each direction of each pair.
+type peers struct {
+	mu     sync.Mutex
+	links  [][]*fault.Link     // by sender and receiver; a TCP call's answers go by the same one, from the receiver
+	ways   [][]fault.Condition // of what goes from one to the other
+	relays []*fault.Relay
+}
+
+func (a *addresses) peer(d int) string   { return a.at(3, d+1, 7946) } // where a dispatcher listens and sends from
+func (a *addresses) public(d int) string { return a.at(4, d+1, 7946) } // where others find it: its relay
+
+// fleetFile writes the fleet's file of a dispatcher.
+func (r *Run) fleetFile(d int) (string, error) {
+	f := fleet.Config{Fleet: "rig", Key: strings.Repeat("5a", 32), Listen: r.addrs.peer(d)}
+	for i, name := range r.names {
+		f.Members = append(f.Members, fleet.Peer{Name: name, Address: r.addrs.public(i)})
+	}
+	text, err := json.Marshal(f)
+	if err != nil {
+		return "", fmt.Errorf("fleet file: %w", err)
+	}
+	path := filepath.Join(r.dir, fmt.Sprintf("n%d.fleet.json", d))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return "", fmt.Errorf("fleet file: %w", err)
+	}
+	return path, nil
+}
+
+// relayPeers stands a relay before each dispatcher.
+func (r *Run) relayPeers() error {
+	n := r.options.Dispatchers
+	p := &peers{}
+	for from := range n {
+		p.ways = append(p.ways, make([]fault.Condition, n))
+		var row []*fault.Link
+		for to := range n {
+			row = append(row, fault.NewLink(r.options.Seed+uint64(from*1000+to)+7))
+		}
+		p.links = append(p.links, row)
+	}
+	r.peers = p
+	for to := range n {
+		relay, err := fault.NewRelay(r.addrs.public(to), r.addrs.peer(to), func(ip net.IP) *fault.Link {
+			v4 := ip.To4()
+			if v4 == nil || v4[2] != 3 || int(v4[3]) < 1 || int(v4[3]) > n {
+				return nil
+			}
+			return p.links[v4[3]-1][to]
+		})
+		if err != nil {
+			return fmt.Errorf("rig: %w", err)
+		}
+		p.relays = append(p.relays, relay)
+	}
+	return nil
+}
+
+// set changes what befalls the bytes from one dispatcher to another.
+func (p *peers) set(from, to int, c fault.Condition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ways[from][to] = c
+	p.links[from][to].Set(p.ways[from][to], p.ways[to][from])
+	p.links[to][from].Set(p.ways[to][from], p.ways[from][to])
+}
+
+// around changes what befalls the bytes to (or from, or both) one dispatcher.
+func (p *peers) around(d int, way string, c fault.Condition) {
+	for other := range p.links {
+		if other == d {
+			continue
+		}
+		if way != "from" {
+			p.set(other, d, c)
+		}
+		if way != "to" {
+			p.set(d, other, c)
+		}
+	}
+}
+
+// split cuts the links between sides, or heals them; side names each dispatcher's.
+func (p *peers) split(side func(d int) int, cut bool) {
+	for a := range p.links {
+		for b := range p.links {
+			if a != b && side(a) != side(b) {
+				p.set(a, b, fault.Condition{Cut: cut})
+			}
+		}
+	}
+}
+
+func (p *peers) close() {
+	for _, r := range p.relays {
+		r.Close()
+	}
+}
+
+// Members is the fleet as a dispatcher shows it to its operators.
+func (r *Run) Members(d int) (fleet.Status, error) {
+	var s fleet.Status
+	conn, err := net.DialTimeout("tcp", r.addrs.ops(d), time.Second)
+	if err != nil {
+		return s, fmt.Errorf("members: %w", err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprintln(conn, "members")
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil {
+		return s, fmt.Errorf("members: %w", err)
+	}
+	text, ok := strings.CutPrefix(line, "SUCCESS ")
+	if !ok {
+		return s, errors.New(line)
+	}
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		return s, fmt.Errorf("members: %w", err)
+	}
+	return s, nil
+}
+
+// mostWatched bounds the dispatchers whose views are followed.
+const mostWatched = 9
+
+// watchViews records each change of state that a dispatcher shows of another.
+func (r *Run) watchViews(ctx context.Context, d int) {
+	last := map[string]string{}
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		if s, err := r.Members(d); err == nil {
+			for i, m := range s.Members {
+				if last[m.Name] != m.State && i != d {
+					last[m.Name] = m.State
+					r.history.Add(history.Event{Kind: history.View, Dispatcher: d, Replica: r.names[i], Request: m.State})
+				}
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// detection is how long after each end or pause of a process the views of others that were up all the while showed it
+// as unreachable or left, in seconds, and how often one showed another as suspect or worse that was up.
+func detection(events []history.Event, names []string) (took []float64, falsely int) {
+	downs := map[string][]history.Event{}
+	byName := map[string]int{}
+	for i, n := range names {
+		byName[n] = i
+	}
+	for _, e := range events {
+		if e.Kind == history.Down {
+			downs[names[e.Dispatcher]] = append(downs[names[e.Dispatcher]], e)
+		}
+	}
+	covers := func(name string, at, slack time.Duration) *history.Event {
+		for i, e := range downs[name] {
+			if e.At <= at && (e.Until == 0 || at <= e.Until+slack) {
+				return &downs[name][i]
+			}
+		}
+		return nil
+	}
+	for _, e := range events {
+		if e.Kind != history.View || e.Request == "alive" || e.Request == "joining" || e.Request == "unknown" {
+			continue
+		}
+		const settle = 3 * time.Second // after a process is back, what was said of its last life may still come
+		if covers(names[e.Dispatcher], e.At, settle) != nil {
+			continue
+		}
+		down := covers(e.Replica, e.At, settle)
+		if down == nil {
+			if e.Request != "left" {
+				falsely++
+			}
+			continue
+		}
+		if e.Request != "suspect" {
+			took = append(took, max(e.At-down.At, 0).Seconds())
+		}
+	}
+	return took, falsely
+}
--- /dev/null
+++ b/internal/rig/fleet_test.go
@@ -0,0 +1,212 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"rampspread/internal/fleet"
+	"rampspread/internal/rig/fault"
+	"rampspread/internal/rig/history"
+	"rampspread/internal/testkit"
+)
+
+// startFleet starts dispatchers that know of each other, without traffic, all at once, and waits until all see all.
+func startFleet(t *testing.T, n int) *Run {
+	t.Helper()
+	r := &Run{scenario: &Scenario{Name: "fleet", Zones: 3, Readers: 1, Writers: 1}, history: history.NewRecorder(), dir: t.TempDir(),
+		options: Options{Program: program, Dispatchers: n, Seed: 1, Fleet: true, Log: slog.New(slog.DiscardHandler)}}
+	t.Cleanup(r.close)
+	if err := r.begin(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for d := range n {
+		r.sees(t, d, "alive", r.all()...)
+	}
+	return r
+}
+
+func (r *Run) all() (out []int) {
+	for d := range r.procs {
+		out = append(out, d)
+	}
+	return out
+}
+
+// sees waits until a dispatcher shows these members in a state.
+func (r *Run) sees(t *testing.T, d int, state string, members ...int) {
+	t.Helper()
+	testkit.Eventually(t, fmt.Sprintf("%v as %s at %d", members, state, d), func() bool {
+		s, err := r.Members(d)
+		return err == nil && !slices.ContainsFunc(members, func(m int) bool { return s.Members[m].State != state })
+	})
+}
+
+func (r *Run) member(t *testing.T, at, of int) fleet.MemberStatus {
+	t.Helper()
+	s, err := r.Members(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Members[of]
+}
+
+// The first on the list dies and comes back; another goes in order; a third is restarted five times in a row.
+func TestMembersComeAndGo(t *testing.T) {
+	t.Parallel()
+	r, ctx := startFleet(t, 5), context.Background()
+	r.procs[0].kill()
+	for d := 1; d < 5; d++ {
+		r.sees(t, d, "unreachable", 0)
+	}
+	first := r.member(t, 1, 0)
+	r.procs[0].restart(ctx, 0, false)
+	for d := range 5 {
+		r.sees(t, d, "alive", 0, 1, 2, 3, 4)
+	}
+	if m := r.member(t, 1, 0); m.Lives != 2 || m.Incarnation <= first.Incarnation {
+		t.Errorf("back as %+v after %+v", m, first)
+	}
+	r.procs[3].term()
+	for _, d := range []int{0, 1, 2, 4} {
+		r.sees(t, d, "left", 3)
+	}
+	for range 5 {
+		r.procs[2].kill()
+		r.procs[2].restart(ctx, 0, false)
+	}
+	for _, d := range []int{0, 1, 4} {
+		r.sees(t, d, "alive", 0, 1, 2, 4)
+		// Lives too short to be heard of are not counted, but the last one is the one that all hold.
+		testkit.Eventually(t, "the last life", func() bool { return r.member(t, d, 2).Incarnation == r.member(t, 2, 2).Incarnation })
+		if m := r.member(t, d, 2); m.Lives < 2 || m.Lives > 6 {
+			t.Errorf("%d lives", m.Lives)
+		}
+		if s, err := r.Members(d); err != nil || len(s.Conflicts) > 0 {
+			t.Errorf("conflicts %v, %v", s.Conflicts, err)
+		}
+	}
+	for _, p := range r.procs {
+		if p.crashes > 0 {
+			t.Errorf("dispatcher %d crashed", p.index)
+		}
+	}
+}
+
+// A partition into two and three sides shows on each side, and heals; packets lost one way only show too.
+func TestMembersApart(t *testing.T) {
+	t.Parallel()
+	r := startFleet(t, 6)
+	for _, sides := range []int{2, 3} {
+		side := func(d int) int { return d % sides }
+		r.peers.split(side, true)
+		for d := range r.procs {
+			var here, there []int
+			for o := range r.procs {
+				if side(o) == side(d) {
+					here = append(here, o)
+				} else {
+					there = append(there, o)
+				}
+			}
+			r.sees(t, d, "unreachable", there...)
+			r.sees(t, d, "alive", here...)
+		}
+		r.peers.split(side, false)
+		for d := range r.procs {
+			r.sees(t, d, "alive", r.all()...)
+		}
+	}
+	r.peers.around(2, "to", fault.Condition{Cut: true})
+	for _, d := range []int{0, 1, 3, 4, 5} {
+		r.sees(t, d, "unreachable", 2)
+	}
+	for d := range r.procs {
+		if d != 2 {
+			r.sees(t, d, "alive", 0, 1, 3, 4, 5)
+		}
+	}
+	r.peers.around(2, "to", fault.Condition{})
+	for d := range r.procs {
+		r.sees(t, d, "alive", r.all()...)
+	}
+	before, _ := r.Members(0)
+	if before.View < 10 {
+		t.Errorf("view %d after all that", before.View)
+	}
+}
+
+// A process that was stopped for longer than the others wait knows, the moment it wakes, that its view is old.
+func TestMemberStopped(t *testing.T) {
+	t.Parallel()
+	r := startFleet(t, 3)
+	r.procs[1].signal(syscall.SIGSTOP, true, false)
+	r.sees(t, 0, "unreachable", 1)
+	r.sees(t, 2, "unreachable", 1)
+	conn, err := net.Dial("tcp", r.addrs.ops(1)) // the kernel takes the call while the process is stopped
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintln(conn, "members")
+	r.procs[1].signal(syscall.SIGCONT, false, false)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s fleet.Status
+	if err := json.Unmarshal([]byte(strings.TrimPrefix(line, "SUCCESS ")), &s); err != nil || s.Fresh {
+		t.Errorf("its first word after the pause is fresh %t, %v", s.Fresh, err)
+	}
+	for d := range 3 {
+		r.sees(t, d, "alive", 0, 1, 2)
+	}
+	testkit.Eventually(t, "a fresh view", func() bool { s, err := r.Members(1); return err == nil && s.Fresh })
+	if m := r.member(t, 0, 1); m.Lives != 1 {
+		t.Errorf("a stopped process came back as %+v", m)
+	}
+}
+
+// A member whose descriptor table is full, and whose peer port gets garbage, stays a member.
+func TestMemberInTrouble(t *testing.T) {
+	t.Parallel()
+	r := startFleet(t, 3)
+	pid := r.procs[1].cmd.Process.Pid
+	var old unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 5, Max: 20000}, &old); err != nil {
+		t.Skip("the limit of another process cannot be set here:", err)
+	}
+	u, err := net.Dial("udp", r.addrs.peer(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	was := r.member(t, 0, 1)
+	for _, text := range testkit.Broken(9, "\xf4\x03rigabcdefgh", strings.Repeat("\x00", 300)) {
+		io.WriteString(u, text)
+	}
+	// It goes on for as many views of the others as it takes to give one up several times over.
+	end := time.Now().Add(4 * time.Second)
+	for time.Now().Before(end) {
+		if m := r.member(t, 0, 1); m.State != "alive" || m.Lives != was.Lives {
+			t.Fatalf("with a full table it shows as %+v", m)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &old, nil); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, "the count of garbage", func() bool { s, err := r.Members(1); return err == nil && s.Bad > 10 })
+	r.sees(t, 1, "alive", 0, 1, 2)
+}
--- a/internal/rig/history/history.go
+++ b/internal/rig/history/history.go
@@ -34,6 +34,8 @@
 	// Discovery.
 	Told   Kind = "told"   // a dispatcher was told that a replica drains or is gone
 	Listed Kind = "listed" // a dispatcher was told that a replica is ready
+	// Views: Dispatcher shows that it holds the member Replica to be in the state Request.
+	View Kind = "view"
 	// Faults of a process: from At on it is not to blame for what it does not do, until Until (0: for good).
 	Down Kind = "down"
 )
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -251,6 +251,13 @@
 		return fmt.Errorf("config: %w", err)
 	}
 	p.args = append([]string{"serve"}, r.options.Args...)
+	if r.options.Fleet {
+		file, err := r.fleetFile(p.index)
+		if err != nil {
+			return err
+		}
+		p.args = append(p.args, "-fleet", file)
+	}
 	if r.anyone {
 		chat, err := r.chatFile(p.index)
 		if err != nil {
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -38,6 +38,10 @@
 	Probes      float64            `json:"probes_per_replica_s"`
 	Fell        int                `json:"fell"` // cold replicas that were pushed over
 	PerSecond   []float64          `json:"per_second"`
+	// With a fleet: how long until the others' views showed a process that had ended or was paused, and how often
+	// one showed another falsely as suspect or worse.
+	DetectS   []float64 `json:"detect_s,omitempty"`
+	Suspected int       `json:"falsely_suspected"`
 
 	breaches []history.Breach
 	events   []history.Event
@@ -107,6 +111,7 @@
 			out.Fell++
 		}
 	}
+	out.DetectS, out.Suspected = detection(events, r.names)
 	out.Probes = float64(probes) / float64(len(r.cluster.replicas)) / r.scenario.Seconds
 	out.spans = r.spans
 	return out
@@ -161,6 +166,13 @@
 	}
 	fmt.Fprintf(t, "first token\tp50 %.0f ms\tp90 %.0f ms\tp99 %.0f ms\n", r.FirstMS["p50"], r.FirstMS["p90"], r.FirstMS["p99"])
 	fmt.Fprintf(t, "probes\t%.2f a replica and second\tfell\t%d\n", r.Probes, r.Fell)
+	if n := len(r.DetectS); n > 0 {
+		sorted := slices.Sorted(slices.Values(r.DetectS))
+		fmt.Fprintf(t, "noticed\tp50 %.2f s\tmost %.2f s\tof %d\n", sorted[n/2], sorted[n-1], n)
+	}
+	if r.Suspected > 0 {
+		fmt.Fprintf(t, "falsely suspected\t%d\n", r.Suspected)
+	}
 	fmt.Fprintf(t, "rules broken\t%d\tcrashes\t%d\n", r.RulesBroken, r.Crashes)
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("report: %w", err)
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -27,6 +27,7 @@
 	Seed        uint64
 	Dir         string // for the processes' files and logs; none: a temporary one, removed at the end unless a rule broke
 	Log         *slog.Logger
+	Fleet       bool // the dispatchers know of each other
 	// Rate is a factor on the scenario's rate; 0 means 1.
 	Rate float64
 }
@@ -45,6 +46,7 @@
 	addrs     *addresses
 	links     links
 	procs     []*proc
+	peers     *peers // nil without a fleet
 	front     *front
 	servers   []*http.Server
 	anyone    bool // replicas answer requests that no client of the rig sent, and each dispatcher has a chat front
@@ -172,6 +174,11 @@
 		}
 		r.links.replicas = append(r.links.replicas, row)
 	}
+	if r.options.Fleet {
+		if err := r.relayPeers(); err != nil {
+			return err
+		}
+	}
 	var wg sync.WaitGroup
 	errs := make([]error, n)
 	for d, p := range r.procs {
@@ -196,6 +203,9 @@
 	for _, s := range r.servers {
 		s.Close()
 	}
+	if r.peers != nil {
+		r.peers.close()
+	}
 	if r.addrs != nil {
 		r.addrs.lock.Close()
 	}
@@ -212,6 +222,11 @@
 	for d := range r.procs {
 		watchers.Go(func() { r.front.watch(watching, d) })
 	}
+	if r.peers != nil {
+		for d := range min(len(r.procs), mostWatched) {
+			watchers.Go(func() { r.watchViews(watching, d) })
+		}
+	}
 	if err := sleep(ctx, 3*checkEvery); err != nil {
 		return nil, err
 	}
@@ -306,6 +321,15 @@
 	case "discovery-late":
 		r.discovery.setLate(lasts)
 		return
+	case "split":
+		side := func(d int) int { return d % max(f.Sides, 2) }
+		if r.peers != nil {
+			r.peers.split(side, true)
+			if f.For > 0 && sleep(ctx, lasts) == nil {
+				r.peers.split(side, false)
+			}
+		}
+		return
 	case "cut-zone":
 		r.cutZone(f.Zone, true)
 		if f.For > 0 && sleep(ctx, lasts) == nil {
@@ -344,8 +368,15 @@
 		links := r.linksOf(f.Links, t)
 		c := fault.Condition{Cut: f.DelayMS == 0 && f.Loss == 0 && f.KBPerS == 0, Delay: seconds(f.DelayMS / 1000),
 			Loss: f.Loss, BytesPerS: f.KBPerS * 1000}
+		if f.Links == "peers" {
+			if r.peers != nil && f.Do == "links" {
+				r.peers.around(t, f.Way, c)
+				again(func() { r.peers.around(t, f.Way, fault.Condition{}) })
+			}
+			return
+		}
 		to, from := c, c // of the parties that listen
-		if dialed := f.Links == "clients" || f.Links == "peers"; f.Way == "to" && dialed || f.Way == "from" && !dialed {
+		if dialed := f.Links == "clients"; f.Way == "to" && dialed || f.Way == "from" && !dialed {
 			from = fault.Condition{}
 		} else if f.Way == "to" || f.Way == "from" {
 			to = fault.Condition{}
@@ -394,7 +425,8 @@
 	return nil
 }
 
-// cutZone cuts the links between a zone's dispatchers and the replicas of the others, both ways, or heals them.
+// cutZone cuts the links between a zone's dispatchers and the replicas and dispatchers of the others, both ways, or
+// heals them.
 func (r *Run) cutZone(zone int, cut bool) {
 	c := fault.Condition{Cut: cut}
 	for d, row := range r.links.replicas {
@@ -404,4 +436,12 @@
 			}
 		}
 	}
+	if r.peers != nil {
+		r.peers.split(func(d int) int {
+			if d%r.scenario.Zones == zone {
+				return 1
+			}
+			return 0
+		}, cut)
+	}
 }
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -42,6 +42,8 @@
 	Every float64 `json:"every"`
 	// Zone is the zone that a zone's fault befalls.
 	Zone int `json:"zone"`
+	// Sides is how many parts the links between dispatchers fall into; 0: two.
+	Sides int `json:"sides"`
 	// Links names the links of a link's fault: replicas, discovery, peers or clients of the dispatchers chosen.
 	Links string `json:"links"`
 	// Way is both, to (the dispatchers) or from (them).
@@ -61,6 +63,7 @@
 	"links":            "dispatchers", // Links are cut, late, lossy or slow, as the other words say
 	"reset":            "dispatchers", // Links' connections are reset
 	"cut-zone":         "zone",        // the zone is cut off from the others
+	"split":            "",            // the dispatchers' links to each other are cut into Sides
 	"discovery-silent": "",            // discovery tells nothing, and answers nobody
 	"discovery-late":   "",            // its changes come For late
 	"replica-kill":     "replicas",    // started again, cold, after For
@@ -117,6 +120,8 @@
 		return fmt.Errorf("from %v for %v s is not within the day", f.At, f.For)
 	case !(f.Part >= 0 && f.Part <= 1) || !(f.Every >= 0):
 		return errors.New("part or every is out of range")
+	case f.Sides < 0 || f.Sides > 9:
+		return fmt.Errorf("sides %d are not up to 9", f.Sides)
 	case f.Zone < 0 || f.Zone >= s.Zones:
 		return fmt.Errorf("zone %d is none", f.Zone)
 	case isLink && !slices.Contains([]string{"replicas", "discovery", "peers", "clients"}, f.Links):
