Count a send that a cut holds back as out from when it was sent, and what a dispatcher takes

The rule counts while no attempt is out.

The report has memory, descriptors and processor time of the dispatchers, and bytes between members.

--- a/internal/rig/fault/link.go
+++ b/internal/rig/fault/link.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -104,6 +105,7 @@
 	done   chan struct{}
 	once   sync.Once
 	fresh  time.Time // when bytes last came in
+	came   atomic.Int64
 
 	mu      sync.Mutex
 	queue   []packet
@@ -126,6 +128,10 @@
 	return out
 }
 
+// Sent is when the bytes that were read last came to this machine, before a fault held them back: for the sender they
+// were sent by then.
+func (c *Conn) Sent() time.Time { return time.Unix(0, c.came.Load()) }
+
 // Link is the link that the connection is on.
 func (c *Conn) Link() *Link { return c.link }
 
@@ -158,6 +164,9 @@
 // Read implements net.Conn. A burst that was already under way is late only once.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 1 { // a single byte is what net/http reads ahead while a request is answered
+		c.came.Store(time.Now().UnixNano())
+	}
 	burst := time.Since(c.fresh) < time.Millisecond
 	if werr := c.wait(!c.dialed, n, !burst); werr != nil {
 		return 0, werr
--- a/internal/rig/fault/relay.go
+++ b/internal/rig/fault/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,8 +21,12 @@
 	tcp  net.Listener
 	done chan struct{}
 	wg   sync.WaitGroup
+	all  atomic.Int64 // bytes handed on by UDP and TCP, to the receiver and in answer from it
 }
 
+// Bytes is how many bytes it has handed on, both ways.
+func (r *Relay) Bytes() int64 { return r.all.Load() }
+
 const dialWait = 2 * time.Second
 
 // NewRelay listens at addr on UDP and TCP and hands on to the receiver at to. Senders without a link (nil) are
@@ -72,6 +77,7 @@
 		if lost {
 			continue
 		}
+		r.all.Add(int64(n))
 		if late <= 0 {
 			r.udp.WriteTo(buf[:n], to)
 			continue
@@ -108,11 +114,13 @@
 	var once sync.Once
 	stop := func() { once.Do(func() { close(end) }) }
 	go func() {
-		io.Copy(out, in)
+		n, _ := io.Copy(out, in)
+		r.all.Add(n)
 		out.(*net.TCPConn).CloseWrite()
 	}()
 	go func() {
-		io.Copy(in, out)
+		n, _ := io.Copy(in, out)
+		r.all.Add(n)
 		stop()
 	}()
 	select {
--- a/internal/rig/history/check.go
+++ b/internal/rig/history/check.go
@@ -222,8 +222,16 @@
 	}
 }
 
-// pinned: while none of a request's attempts is out, what is held for it is let go in time.
+// pinned: while none of a request's attempts is out, what is held for it is let go in time. One that a cut holds
+// back is out from when it was sent.
 func (c *checker) pinned() {
+	events := slices.Clone(c.events)
+	for i, e := range events {
+		if e.Kind == Came && e.Sent > 0 {
+			events[i].At = e.Sent
+		}
+	}
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	type hold struct {
 		Event
 		out   int           // attempts
@@ -239,12 +247,11 @@
 			c.breach(Pinned, Event{At: at, Request: h.Request, Replica: h.Replica}, "held for %v with no attempt out", at-h.since)
 		}
 	}
-	for _, e := range c.events {
+	for _, e := range events {
 		end = e.At
 		switch e.Kind {
 		case Came:
-			// One that comes late over a link that was cut has been out all the while.
-			if h := held[e.Request]; h != nil && e.Sound {
+			if h := held[e.Request]; h != nil {
 				judge(h, e.At)
 			}
 			out[e.Request]++
--- a/internal/rig/history/history.go
+++ b/internal/rig/history/history.go
@@ -23,7 +23,7 @@
 	Foreign  Kind = "foreign"  // an answer with what no replica made for the request
 	Quit     Kind = "quit"     // the client gave up, or its connection broke without an answer
 	// Replicas.
-	Came  Kind = "came"  // a request for work came; At is its first byte's time, Weight its work
+	Came  Kind = "came"  // a request for work came, with its work as Weight; Sent is when its sender had sent it
 	Began Kind = "began" // an attempt at a writer runs
 	Ended Kind = "ended" // an attempt that came is over
 	Held  Kind = "held"  // a read state waits at a reader
@@ -53,6 +53,7 @@
 	Whole      bool          `json:"whole,omitempty"`
 	Weight     float64       `json:"weight,omitempty"`
 	Until      time.Duration `json:"until,omitempty"`
+	Sent       time.Duration `json:"sent,omitempty"`  // 0: at At
 	Sound      bool          `json:"sound,omitempty"` // the link was without a fault all the while
 }
 
@@ -69,6 +70,9 @@
 // Now is the time since the run began.
 func (r *Recorder) Now() time.Duration { return time.Since(r.start) }
 
+// At is a time on the run's clock.
+func (r *Recorder) At(t time.Time) time.Duration { return t.Sub(r.start) }
+
 // Add records an event; one without a time happens now.
 func (r *Recorder) Add(e Event) {
 	r.mu.Lock()
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -187,7 +188,38 @@
 	p.counts = lastCounters(text)
 }
 
+// usage is what a process takes of its machine.
+type usage struct {
+	rssMB float64 // at the most so far
+	fds   int     // now
+	cpu   time.Duration
+}
+
+// usage reads what this life has taken so far.
+func (p *proc) usage() (u usage) {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if m := highWater.FindSubmatch(status); m != nil {
+		kb, _ := strconv.ParseFloat(string(m[1]), 64)
+		u.rssMB = kb / 1024
+	}
+	fds, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	u.fds = len(fds)
+	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if _, rest, ok := strings.Cut(string(stat), ") "); ok {
+		if f := strings.Fields(rest); len(f) > 12 { // utime and stime, in hundredths of a second
+			user, _ := strconv.Atoi(f[11])
+			system, _ := strconv.Atoi(f[12])
+			u.cpu = time.Duration(user+system) * 10 * time.Millisecond
+		}
+	}
+	return u
+}
+
 var (
+	highWater   = regexp.MustCompile(`(?m)^VmHWM:\s+(\d+) kB`)
 	counterLine = regexp.MustCompile(`(?m)^event=counters .*$`)
 	counter     = regexp.MustCompile(`(\w+)=([0-9.]+)`)
 )
--- a/internal/rig/replica.go
+++ b/internal/rig/replica.go
@@ -215,11 +215,16 @@
 		if life.Err() != nil {
 			panic(http.ErrAbortHandler) // the process is gone
 		}
-	}), ErrorLog: quietLog}
+	}), ErrorLog: quietLog, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}}
 	go s.Serve(l)
 	return s
 }
 
+// connKey finds the connection of a call.
+type connKey struct{}
+
 // reset breaks all connections to it.
 func (r *replica) reset() {
 	for _, l := range r.listeners {
@@ -266,6 +271,9 @@
 	began := time.Now()
 	event := history.Event{At: came, Kind: history.Came, Request: id, Group: s.group, Class: s.class.name, Replica: r.name,
 		Dispatcher: dispatcher, Sound: link.Sound(began.Add(-time.Second)), Weight: r.weight(s)}
+	if c, ok := q.Context().Value(connKey{}).(*fault.Conn); ok {
+		event.Sent = max(min(h.At(c.Sent()), came), 1)
+	}
 	h.Add(event)
 	r.mu.Lock()
 	over := false
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -42,6 +42,12 @@
 	// one showed another falsely as suspect or worse.
 	DetectS   []float64 `json:"detect_s,omitempty"`
 	Suspected int       `json:"falsely_suspected"`
+	// What the dispatchers that ran at the end took: the most of any in MB and descriptors, the mean share of a core, and
+	// what a member sent to others in bytes a second, with the answers that it got.
+	RSSMB     float64 `json:"rss_mb_most"`
+	FDs       int     `json:"fds_most"`
+	Core      float64 `json:"core_mean"`
+	PeerBytes float64 `json:"peer_bytes_s"`
 
 	breaches []history.Breach
 	events   []history.Event
@@ -117,6 +123,21 @@
 	return out
 }
 
+// use takes in what the processes took over so long.
+func (r *Report) use(used []usage, run *Run, over time.Duration) {
+	for _, u := range used {
+		r.RSSMB, r.FDs = max(r.RSSMB, u.rssMB), max(r.FDs, u.fds)
+		r.Core += u.cpu.Seconds() / over.Seconds() / float64(len(used))
+	}
+	if run.peers != nil {
+		bytes := int64(0)
+		for _, relay := range run.peers.relays {
+			bytes += relay.Bytes()
+		}
+		r.PeerBytes = float64(bytes) / over.Seconds() / float64(len(used))
+	}
+}
+
 func share(earned, asked []float64) float64 {
 	e, a := 0.0, 0.0
 	for i := range asked {
@@ -166,6 +187,10 @@
 	}
 	fmt.Fprintf(t, "first token\tp50 %.0f ms\tp90 %.0f ms\tp99 %.0f ms\n", r.FirstMS["p50"], r.FirstMS["p90"], r.FirstMS["p99"])
 	fmt.Fprintf(t, "probes\t%.2f a replica and second\tfell\t%d\n", r.Probes, r.Fell)
+	fmt.Fprintf(t, "a dispatcher\t%.0f MB\t%d descriptors\t%.3f of a core\n", r.RSSMB, r.FDs, r.Core)
+	if r.PeerBytes > 0 {
+		fmt.Fprintf(t, "between members\t%.0f bytes a second each\n", r.PeerBytes)
+	}
 	if n := len(r.DetectS); n > 0 {
 		sorted := slices.Sorted(slices.Values(r.DetectS))
 		fmt.Fprintf(t, "noticed\tp50 %.2f s\tmost %.2f s\tof %d\n", sorted[n/2], sorted[n-1], n)
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -264,12 +264,18 @@
 	stopWatching()
 	watchers.Wait()
 	c.close()
+	var used []usage
+	for _, p := range r.procs {
+		used = append(used, p.usage())
+	}
 	var wg sync.WaitGroup
 	for _, p := range r.procs {
 		wg.Go(p.stop)
 	}
 	wg.Wait()
-	return r.report(results, base, c.made), nil
+	report := r.report(results, base, c.made)
+	report.use(used, r, r.history.Now()-base)
+	return report, nil
 }
 
 // targets draws what a fault befalls: numbers of dispatchers or replicas.
