--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -27,6 +27,7 @@
 	"rampspread/internal/core"
 	"rampspread/internal/discovery"
 	"rampspread/internal/fleet"
+	"rampspread/internal/fleet/work"
 	"rampspread/internal/ops"
 	"rampspread/internal/servers"
 	"rampspread/internal/wire"
@@ -103,6 +104,7 @@
 	guards   []*clients.Guard
 	servers  []*http.Server
 	fleet    *fleet.Node   // nil: alone
+	tasks    *work.Tasks   // of the fleet; nil: alone
 	settings atomic.Uint64 // fingerprint of the settings in force
 	classes  wire.Classes  // the module's classes; only reload changes them, in one goroutine
 }
@@ -141,7 +143,12 @@
 		return err
 	}
 	failed := make(chan error, 4)
+	p.settings.Store(fingerprint(&cfg.Settings))
 	publish := p.core.Roster
+	if files.fleet != nil {
+		p.tasks = p.share(cfg)
+		publish = also(publish, p.tasks.Roster)
+	}
 	if o.xdsAddr != "" {
 		proxies := xds.New(&cfg.Settings)
 		listener, err := net.Listen("tcp", o.xdsAddr)
@@ -154,10 +161,7 @@
 			}
 		}()
 		defer proxies.Stop()
-		publish = func(full bool, entries []core.Listing) {
-			p.core.Roster(full, entries)
-			proxies.Publish(full, entries)
-		}
+		publish = also(publish, proxies.Publish)
 	}
 	p.watch = discovery.New(cfg.Discovery, &cfg.Settings, seed, publish)
 	p.front = clients.New(p.core, &cfg.Settings)
@@ -212,7 +216,8 @@
 		defer p.fleet.Close()
 	}
 	if cfg.Ops != "" {
-		calls := ops.New(map[string]ops.Call{"check": p.check, "drain-on": p.drainOn, "drain-off": p.drainOff, "members": p.members},
+		calls := ops.New(map[string]ops.Call{"check": p.check, "drain-on": p.drainOn, "drain-off": p.drainOff, "members": p.members,
+			"duties": p.dutiesCall},
 			slog.Default())
 		listener, err := net.Listen("tcp", cfg.Ops)
 		if err != nil {
@@ -237,6 +242,14 @@
 	return err
 }
 
+// also hands a list to both.
+func also(first, second func(bool, []core.Listing)) func(bool, []core.Listing) {
+	return func(full bool, entries []core.Listing) {
+		first(full, entries)
+		second(full, entries)
+	}
+}
+
 // reload reads the configuration's file again, retunes the module to its settings and follows discovery where
 // it now says; the environment told only where discovery was at the start. A file that fails any check changes
 // nothing at all. Limits, telemetry, zones, kinds, tenants and the chat front's file hold from the next start.
@@ -377,7 +390,7 @@
 		outcomes = append(outcomes, fmt.Sprintf(" outcome_%s=%d", name, count))
 	}
 	slices.Sort(outcomes)
-	return fmt.Sprintf("event=counters taken=%d open=%d servers=%d sent=%d probed=%d released=%d served=%d broken=%d refused=%d failed=%d "+
-		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Probed, n.Released,
+	return fmt.Sprintf("event=counters taken=%d open=%d servers=%d sent=%d probed=%d heard=%d released=%d served=%d broken=%d refused=%d failed=%d "+
+		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Probed, n.Heard, n.Released,
 		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), strings.Join(outcomes, "")+p.fleetCounters())
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -198,6 +198,12 @@
 		Server ServerID
 		Load   *Load
 	}
+	// Heard is what another router found out about a server, Age ago: its Load, or nil where it told none in time.
+	Heard struct {
+		Server ServerID
+		Load   *Load
+		Age    time.Duration
+	}
 	// ClientGone ends a request from outside.
 	ClientGone struct{ Request RequestID }
 	// Timer is due.
@@ -209,6 +215,7 @@
 func (Started) event()    {}
 func (Ended) event()      {}
 func (Probed) event()     {}
+func (Heard) event()      {}
 func (ClientGone) event() {}
 func (Timer) event()      {}
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -122,6 +122,8 @@
 		r.clientGone(e.Request)
 	case Probed:
 		r.probed(e)
+	case Heard:
+		r.hear(e)
 	case Timer:
 		if q := r.requests[RequestID(e.ID)]; q != nil && (q.phase == arrived || q.phase == read) {
 			if q.unheard > 0 { // what it asked for is missing
@@ -130,9 +132,7 @@
 			r.advance(q)
 		}
 	}
-	out := r.out
-	r.out = nil
-	return out
+	return r.flush()
 }
 
 // ---- The roster.
@@ -567,10 +567,8 @@
 	if e.Load == nil || e.Load.Queue < 0 {
 		s.health[0].move(r.now, 1, hardWeight)
 	} else {
-		s.load, s.loadAt, s.heard = e.Load.Queue+busySlots*max(e.Load.Busy, 0), r.now, r.now
-		if s.memory = e.Load.Memory; s.role != Reader && e.Load.Queue >= 1 {
-			s.fullTill = r.now + fullFor
-		}
+		s.heard = r.now
+		s.takeLoad(e.Load, r.now, r.now)
 	}
 	askers := s.askers
 	s.askers = nil
--- a/decide/state.go
+++ b/decide/state.go
@@ -137,6 +137,47 @@
 	s.waits = slices.DeleteFunc(s.waits, func(w waiting) bool { return w.id == id })
 }
 
+// flush hands out the actions of an event.
+func (r *Router) flush() []Action {
+	out := r.out
+	r.out = nil
+	return out
+}
+
+// takeLoad takes what a server told of its load at a time; it serves as if told at the time fresh.
+func (s *server) takeLoad(l *Load, told, fresh time.Duration) {
+	s.load, s.loadAt = l.Queue+busySlots*max(l.Busy, 0), fresh
+	if s.memory = l.Memory; s.role != Reader && l.Queue >= 1 {
+		s.fullTill = max(s.fullTill, told+fullFor)
+	}
+}
+
+const (
+	// heardFor is how long a load that another router heard serves. The next one comes before that, so it fades
+	// more slowly than one that this router asked for.
+	heardFor = 900 * ms
+	// heardWeight is what another's word that a server is silent weighs, against one's own experience.
+	heardWeight = hardWeight / 2
+)
+
+// hear takes what another router found out about a server, as evidence that fades with its age. Own later evidence goes
+// first. It never makes a server count as alive here: the way from here may be cut, though another's is not.
+func (r *Router) hear(e Heard) {
+	s := r.byID[e.Server]
+	at := r.now - e.Age
+	switch {
+	case s == nil || e.Age < 0 || e.Age > heardFor:
+	case e.Load == nil || e.Load.Queue < 0:
+		if s.heard < at {
+			s.health[0].move(r.now, 1, heardWeight*float64(heardFor-e.Age)/float64(heardFor))
+		}
+	default:
+		if fresh := r.now - e.Age*time.Duration(loadFresh)/heardFor; fresh > s.loadAt {
+			s.takeLoad(e.Load, at, fresh)
+		}
+	}
+}
+
 func (r *Router) emit(a Action) { r.out = append(r.out, a) }
 
 // note takes a text as kept from the moment it is sent, so that a flood of one text goes where it is
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -267,6 +267,32 @@
 	c.prune()
 }
 
+// Heard is what another dispatcher found out about a server, Age ago; a nil Load: it told none in time.
+type Heard struct {
+	Name string
+	Load *decide.Load
+	Age  time.Duration
+}
+
+// Heard takes what others found out. It never waits: while the queue is full the news is dropped, since it would be old
+// by the time there is room, and false is returned.
+func (c *Core) Heard(news []Heard) bool {
+	came := time.Now()
+	select {
+	case c.queue <- func() {
+		for _, n := range news {
+			if l := c.names[n.Name]; l != nil {
+				c.counters.Heard++
+				c.handle(decide.Heard{Server: l.ID, Load: n.Load, Age: n.Age + time.Since(came)})
+			}
+		}
+	}:
+		return true
+	default:
+		return false
+	}
+}
+
 // lookup gives a name the same number at every dispatcher, since the module draws by it.
 func (c *Core) lookup(name string) *listed {
 	if l := c.names[name]; l != nil {
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -12,7 +12,7 @@
 
 // Counters tells what the core took in, sent and answered.
 type Counters struct {
-	Taken, Sent, Probed, Released                  int
+	Taken, Sent, Probed, Released, Heard           int
 	Served, Refused, Failed, Left, Overdue, Broken int
 	Outcomes                                       map[string]int
 	Open, Listed                                   int
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -27,9 +28,15 @@
 	// ProbeMS is how often a member looks whether another is there, in ms; 0: defaultProbe. The time to find one
 	// gone grows with it.
 	ProbeMS int `json:"probe_ms"`
+	// Voters are the members that grant duties: 1, 3 or 5 of them. None: nothing is done in turn.
+	Voters []string `json:"voters"`
+	// TermMS is how long a duty is granted for, in ms; 0: defaultTerm. A duty is taken over about so long after its
+	// holder died.
+	TermMS int `json:"term_ms"`
 
 	key   []byte
 	probe time.Duration
+	term  time.Duration
 }
 
 // Peer is one name that may be in the fleet, and the address at which others reach it.
@@ -79,9 +86,16 @@
 		return nil, fmt.Errorf("fleet: key has %d bytes, not 16, 24 or 32", len(key))
 	case c.ProbeMS != 0 && (c.ProbeMS < 50 || c.ProbeMS > 10_000):
 		return nil, fmt.Errorf("fleet: probe_ms %d is not from 50 to 10000", c.ProbeMS)
+	case c.TermMS != 0 && (c.TermMS < 300 || c.TermMS > 60_000):
+		return nil, fmt.Errorf("fleet: term_ms %d is not from 300 to 60000", c.TermMS)
+	case len(c.Voters) != 0 && len(c.Voters) != 1 && len(c.Voters) != 3 && len(c.Voters) != 5:
+		return nil, fmt.Errorf("fleet: %d voters, not 1, 3 or 5", len(c.Voters))
 	case len(c.Members) > maxMembers:
 		return nil, fmt.Errorf("fleet: %d members, at most %d", len(c.Members), maxMembers)
 	}
+	if c.term = time.Duration(c.TermMS) * time.Millisecond; c.term == 0 {
+		c.term = defaultTerm
+	}
 	c.key, c.probe = key, time.Duration(c.ProbeMS)*time.Millisecond
 	if c.probe == 0 {
 		c.probe = defaultProbe
@@ -105,6 +119,11 @@
 	if !names[name] {
 		return nil, fmt.Errorf("fleet: this process's name %q is not on the list of members", name)
 	}
+	for i, v := range c.Voters {
+		if !names[v] || slices.Contains(c.Voters[:i], v) {
+			return nil, fmt.Errorf("fleet: voter %q is no member, or stands twice", v)
+		}
+	}
 	if err := private(c.Listen); err != nil {
 		return nil, fmt.Errorf("fleet: listen: %w", err)
 	}
--- /dev/null
+++ b/internal/fleet/duties.go
@@ -0,0 +1,365 @@
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rampspread/internal/fleet/lease"
+	"rampspread/internal/fleet/view"
+)
+
+const (
+	defaultTerm = 1200 * time.Millisecond
+	dutyTick    = 50 * time.Millisecond
+	// One that stands by claims a duty that it has heard nothing of for a term and this.
+	standbyGrace = 100 * time.Millisecond
+	// And gives it back to the owner after so many terms, where that one counts again.
+	standbyTerms = 8
+	resultsMost  = 1200     // bytes of results in a packet
+	resultBytes  = 64 << 10 // that a member sends in a second, to all together
+	maxPayload   = 64
+	forgetAfter  = time.Minute
+)
+
+// Work is what the fleet does in turn. Its methods may be called from several goroutines; Duties, Every and Told must not
+// block.
+type Work interface {
+	// Duties are the names of what is to be done by one member for all.
+	Duties() []string
+	// Every is how often a duty is carried out.
+	Every(duty string) time.Duration
+	// Do carries it out under a lease, and calls done once with what it found (at most 64 bytes), or with nil.
+	Do(duty string, number uint64, done func(found []byte))
+	// Told takes what was found out, here or by other members.
+	Told(found []Found)
+}
+
+// Found is one result of a duty.
+type Found struct {
+	Duty string
+	Data []byte
+	Age  time.Duration
+}
+
+// DutyStatus is a duty as operators are shown it.
+type DutyStatus struct {
+	Duty    string  `json:"duty"`
+	Owner   string  `json:"owner"` // by the view
+	Standby string  `json:"standby"`
+	Held    bool    `json:"held"` // by this member
+	Number  uint64  `json:"number"`
+	For     float64 `json:"for_s"`
+	Left    float64 `json:"left_s"`
+	Heard   float64 `json:"heard_s"` // since its last result, from whomever
+}
+
+// DutiesStatus is what operators are shown of the duties.
+type DutiesStatus struct {
+	Self   string       `json:"self"`
+	Voters []string     `json:"voters"`
+	Mute   bool         `json:"mute"` // a voter that does not vote yet
+	Duties []DutyStatus `json:"duties"`
+	Lapsed string       `json:"lapsed,omitempty"` // what ended last here, and why
+	Acts   int64        `json:"acts"`
+	Late   int64        `json:"late"` // results of leases that others have followed
+	Bytes  int64        `json:"bytes"`
+}
+
+// duties carries out the fleet's work: it claims what the view says is this member's, votes if it is a voter, acts
+// under its leases and spreads what was found.
+type duties struct {
+	node   *Node
+	work   Work
+	limits lease.Limits
+	every  time.Duration // between flushes, at the least
+	acts   atomic.Int64
+	late   atomic.Int64
+	bytes  atomic.Int64
+
+	mu         sync.Mutex
+	holder     *lease.Holder
+	voter      *lease.Voter // nil: not one
+	fence      lease.Fence
+	names      map[lease.Duty]string
+	list       []string // what names was made of
+	assigned   lease.Assignment
+	members    []string
+	next       map[lease.Duty]time.Duration
+	heard      map[lease.Duty]time.Duration // the last result
+	standing   map[lease.Duty]time.Duration // held for another since
+	out        map[lease.Duty]result        // to be sent, the latest of each
+	flushed    time.Duration
+	budget     float64
+	forgotten  time.Duration
+	lapsedSeen *lease.Lapse
+}
+
+// result is a Found on its way.
+type result struct {
+	duty   lease.Duty
+	number uint64
+	at     time.Duration // by this process's clock
+	data   []byte
+}
+
+func newDuties(n *Node, work Work) *duties {
+	c := n.cfg
+	limits := lease.Limits{Term: c.term, Margin: c.term / 10, Renew: c.term / 6}
+	rng := rand.New(rand.NewPCG(n.self.Seed, 0x1ea5e))
+	d := &duties{node: n, work: work, limits: limits, every: 2 * dutyTick, next: map[lease.Duty]time.Duration{}, heard: map[lease.Duty]time.Duration{},
+		standing: map[lease.Duty]time.Duration{}, out: map[lease.Duty]result{}, names: map[lease.Duty]string{}, budget: resultBytes}
+	d.holder = lease.NewHolder(lease.Claimer{Name: n.self.Name, Incarnation: uint64(n.start.UnixNano())}, c.Voters, limits, rng.Int64N)
+	if slices.Contains(c.Voters, n.self.Name) {
+		d.voter = lease.NewVoter(n.self.Name, limits, n.now())
+	}
+	return d
+}
+
+// step is one look at what is to be claimed, done and sent.
+func (d *duties) step(now time.Duration) {
+	v := d.node.View()
+	d.mu.Lock()
+	d.assign(now, v)
+	most := max(d.fence.Most(), d.holder.Seen())
+	d.holder.Raise(most)
+	if d.voter != nil {
+		d.voter.Raise(most)
+		if now-d.forgotten > forgetAfter {
+			d.forgotten = now
+			d.voter.Forget(now, forgetAfter)
+		}
+	}
+	d.holder.Want(now, d.wants(now, v))
+	q, claims := d.holder.Step(now)
+	if l := d.holder.Lapsed(); l != nil && l != d.lapsedSeen {
+		d.lapsedSeen = l
+		slog.Info("duty_lapsed", "duty", d.names[l.Duty], "number", l.Number, "why", l.Why)
+	}
+	var due []lease.Duty
+	for _, h := range d.holder.All(now) {
+		if now >= d.next[h.Duty] {
+			due = append(due, h.Duty)
+			d.next[h.Duty] = now + d.work.Every(d.names[h.Duty])
+		}
+	}
+	packets := d.flush(now, v)
+	d.mu.Unlock()
+	if claims {
+		d.ask(q)
+	}
+	for _, duty := range due {
+		d.act(duty)
+	}
+	for _, p := range packets {
+		d.node.send(p.to, p.data)
+	}
+}
+
+// assign works out whose each duty is, when the duties or those who count have changed; the caller holds the lock.
+func (d *duties) assign(now time.Duration, v view.View) {
+	names := d.work.Duties()
+	slices.Sort(names)
+	var members []string
+	for _, m := range v.Counting() {
+		members = append(members, m.Name)
+	}
+	if slices.Equal(names, d.list) && slices.Equal(members, d.members) {
+		return
+	}
+	d.list, d.members = names, members
+	d.names = map[lease.Duty]string{}
+	known := map[lease.Duty]bool{}
+	for _, name := range names {
+		duty := lease.Of(name)
+		d.names[duty] = name
+		known[duty] = true
+		if _, ok := d.heard[duty]; !ok {
+			d.heard[duty] = now
+		}
+	}
+	forget := func(duty lease.Duty) bool { return !known[duty] }
+	maps.DeleteFunc(d.heard, func(k lease.Duty, _ time.Duration) bool { return forget(k) })
+	maps.DeleteFunc(d.next, func(k lease.Duty, _ time.Duration) bool { return forget(k) })
+	maps.DeleteFunc(d.standing, func(k lease.Duty, _ time.Duration) bool { return forget(k) })
+	maps.DeleteFunc(d.out, func(k lease.Duty, _ result) bool { return forget(k) })
+	d.fence.Keep(known)
+	d.assigned = lease.Assign(slices.Collect(maps.Keys(d.names)), members)
+}
+
+// wants are the duties that are this member's, and those that it stands by for and that seem to have lapsed; the caller
+// holds the lock.
+func (d *duties) wants(now time.Duration, v view.View) map[lease.Duty]bool {
+	out := map[lease.Duty]bool{}
+	self := d.node.self.Name
+	for duty := range d.names {
+		if d.assigned.Owner[duty] == self {
+			out[duty] = true
+			delete(d.standing, duty)
+			continue
+		}
+		if d.assigned.Standby[duty] != self {
+			continue
+		}
+		since, standing := d.standing[duty]
+		switch {
+		case standing && now-since < standbyTerms*d.limits.Term:
+			out[duty] = true
+		case standing:
+			delete(d.standing, duty) // the owner counts, or the duty would be another's by now
+			d.heard[duty] = now
+		case now-d.heard[duty] > d.limits.Term+standbyGrace+d.work.Every(d.names[duty])/4:
+			d.standing[duty] = now
+			out[duty] = true
+		}
+	}
+	return out
+}
+
+// ask sends a request to all voters.
+func (d *duties) ask(q lease.Request) {
+	for _, voter := range d.node.cfg.Voters {
+		if voter == d.node.self.Name {
+			d.answer(q, voter)
+			continue
+		}
+		for _, p := range encodeRequest(q) {
+			d.node.send(voter, p)
+		}
+	}
+}
+
+// answer answers a request as a voter.
+func (d *duties) answer(q lease.Request, from string) {
+	d.mu.Lock()
+	if d.voter == nil {
+		d.mu.Unlock()
+		return
+	}
+	now := d.node.now()
+	r := d.voter.Ask(now, q)
+	if q.From.Name == d.node.self.Name {
+		d.holder.Take(now, r)
+		d.mu.Unlock()
+		return
+	}
+	d.mu.Unlock()
+	if len(r.Grants) > 0 {
+		d.node.send(q.From.Name, encodeReply(r))
+	}
+}
+
+// act carries out one duty, if the lease still runs at this very time.
+func (d *duties) act(duty lease.Duty) {
+	d.mu.Lock()
+	name := d.names[duty]
+	now := d.node.now()
+	number, ok := d.holder.Holds(now, duty)
+	d.mu.Unlock()
+	if !ok || name == "" {
+		return
+	}
+	d.acts.Add(1)
+	d.work.Do(name, number, func(found []byte) {
+		if found != nil && len(found) <= maxPayload {
+			d.take([]result{{duty, number, d.node.now(), found}}, true)
+		}
+	})
+}
+
+// take takes results, of which those of leases that others have followed are passed over. Own ones go to the others.
+func (d *duties) take(results []result, own bool) {
+	var news []Found
+	now := d.node.now()
+	d.mu.Lock()
+	for _, r := range results {
+		name, ok := d.names[r.duty]
+		if !ok {
+			continue // a duty that is not known here, or no more
+		}
+		if !d.fence.Accept(r.duty, r.number) {
+			d.late.Add(1)
+			continue
+		}
+		d.heard[r.duty] = now
+		if own {
+			d.out[r.duty] = r
+		}
+		news = append(news, Found{name, r.data, max(now-r.at, 0)})
+	}
+	d.mu.Unlock()
+	if len(news) > 0 {
+		d.work.Told(news)
+	}
+}
+
+// packet is what is to be sent to a member.
+type packet struct {
+	to   string
+	data []byte
+}
+
+// flush makes packets of the results that wait, within the budget of bytes; the caller holds the lock.
+func (d *duties) flush(now time.Duration, v view.View) (out []packet) {
+	counting := v.Counting()
+	// In a large fleet results wait longer, so that the packets of a second stay bounded.
+	every := max(d.every, time.Duration(len(counting))*2*time.Millisecond)
+	if now-d.flushed < every || len(d.out) == 0 {
+		return nil
+	}
+	d.budget = min(d.budget+resultBytes*(now-d.flushed).Seconds(), resultBytes)
+	d.flushed = now
+	waiting := slices.SortedFunc(maps.Values(d.out), func(a, b result) int { return int(a.at - b.at) })
+	clear(d.out)
+	var messages [][]byte
+	for len(waiting) > 0 {
+		var m []byte
+		m, waiting = encodeResults(now, waiting)
+		messages = append(messages, m)
+	}
+	for _, m := range messages {
+		cost := float64(len(m) * max(len(counting)-1, 0))
+		if cost > d.budget {
+			continue // the next results are newer
+		}
+		d.budget -= cost
+		d.bytes.Add(int64(cost))
+		for _, to := range counting {
+			if to.Name != d.node.self.Name {
+				out = append(out, packet{to.Name, m})
+			}
+		}
+	}
+	return out
+}
+
+// status is what operators are shown.
+func (d *duties) status() DutiesStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.node.now()
+	s := DutiesStatus{Self: d.node.self.Name, Voters: d.node.cfg.Voters, Mute: d.voter != nil && d.voter.Mute(now),
+		Acts: d.acts.Load(), Late: d.late.Load(), Bytes: d.bytes.Load()}
+	held := map[lease.Duty]lease.Held{}
+	for _, h := range d.holder.All(now) {
+		held[h.Duty] = h
+	}
+	for _, name := range d.list {
+		duty := lease.Of(name)
+		h, ok := held[duty]
+		one := DutyStatus{Duty: name, Owner: d.assigned.Owner[duty], Standby: d.assigned.Standby[duty], Held: ok, Heard: (now - d.heard[duty]).Seconds()}
+		if ok {
+			one.Number, one.For, one.Left = h.Number, (now - h.Since).Seconds(), (h.Until - now).Seconds()
+		}
+		s.Duties = append(s.Duties, one)
+	}
+	if l := d.holder.Lapsed(); l != nil {
+		s.Lapsed = fmt.Sprintf("%s, lease %d, %.1f s ago: %s", d.names[l.Duty], l.Number, (now - l.At).Seconds(), l.Why)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/duties_test.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rampspread/internal/fleet/lease"
+	"rampspread/internal/testkit"
+)
+
+// chores is work that only notes who did what, under which lease.
+type chores struct {
+	mu    sync.Mutex
+	names []string
+	done  []chore
+	told  map[string]int
+}
+
+type chore struct {
+	who, duty string
+	number    uint64
+}
+
+// part is a member's share of the work.
+type part struct {
+	*chores
+	who string
+}
+
+func (p part) Duties() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.names)
+}
+
+func (p part) Every(string) time.Duration { return 50 * time.Millisecond }
+
+func (p part) Do(duty string, number uint64, done func([]byte)) {
+	p.mu.Lock()
+	p.done = append(p.done, chore{p.who, duty, number})
+	p.mu.Unlock()
+	done([]byte(p.who))
+}
+
+func (p part) Told(found []Found) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range found {
+		p.told[p.who+" of "+f.Duty]++
+	}
+}
+
+// holders are who did each duty last, in the last n acts.
+func (c *chores) holders() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]string{}
+	for _, d := range c.done {
+		out[d.duty] = d.who
+	}
+	return out
+}
+
+func startWorking(t *testing.T, c *chores, text string, host int) *Node {
+	t.Helper()
+	name := fmt.Sprint("n", host%100)
+	cfg, err := Parse([]byte(text), name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := Start(cfg, Self{Name: name, Version: "1", Seed: uint64(host), Work: part{c, name},
+		Facts: func() Facts { return Facts{Serving: true} }}, func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.stop(); <-n.done; n.list.Shutdown() })
+	return n
+}
+
+// Duties are divided among the members, each is done by one at a time under a lease, all hear of what is found, and those
+// of a member that dies are taken over. A minority does nothing.
+func TestDutiesAreDividedAndTakenOver(t *testing.T) {
+	text := strings.Replace(file("f", key, 60, 61, 62, 63), `"probe_ms":100`, `"probe_ms":100,"term_ms":400,"voters":["n60","n61","n62"]`, 1)
+	c := &chores{told: map[string]int{}}
+	for i := range 12 {
+		c.names = append(c.names, fmt.Sprint("duty", i))
+	}
+	var nodes []*Node
+	for _, h := range []int{60, 61, 62, 63} {
+		nodes = append(nodes, startWorking(t, c, text, h))
+	}
+	testkit.Eventually(t, "each member to do its part", func() bool {
+		load := map[string]int{}
+		for _, who := range c.holders() {
+			load[who]++
+		}
+		return len(c.holders()) == 12 && len(load) == 4 && load["n60"] <= 3 && load["n61"] <= 3 && load["n62"] <= 3 && load["n63"] <= 3
+	})
+	testkit.Eventually(t, "all to hear of all", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.told) == 4*12
+	})
+	if s, ok := nodes[1].Duties(); !ok || len(s.Duties) != 12 || s.Duties[0].Owner == "" || s.Mute {
+		t.Errorf("%+v", s)
+	}
+	dead := nodes[3]
+	dead.stop()
+	<-dead.done
+	dead.list.Shutdown()
+	testkit.Eventually(t, "its duties to be taken over", func() bool {
+		return !slices.Contains(slices.Collect(maps.Values(c.holders())), "n63")
+	})
+	c.mu.Lock()
+	numbers := map[string]uint64{}
+	for _, d := range c.done {
+		if d.number < numbers[d.duty] {
+			t.Errorf("%s was done under lease %d by %s after lease %d", d.duty, d.number, d.who, numbers[d.duty])
+		}
+		numbers[d.duty] = d.number
+	}
+	c.mu.Unlock()
+	for _, n := range nodes[1:3] { // one voter of three is left
+		n.stop()
+		<-n.done
+		n.list.Shutdown()
+	}
+	held := func() int {
+		s, _ := nodes[0].Duties()
+		n := 0
+		for _, d := range s.Duties {
+			if d.Held {
+				n++
+			}
+		}
+		return n
+	}
+	testkit.Eventually(t, "the minority to hold nothing", func() bool { return held() == 0 })
+	acts := nodes[0].duties.acts.Load()
+	for range 20 {
+		time.Sleep(dutyTick)
+		if held() > 0 {
+			t.Fatal("a minority holds a duty")
+		}
+	}
+	if now := nodes[0].duties.acts.Load(); now != acts {
+		t.Errorf("a minority acted %d times", now-acts)
+	}
+}
+
+// Requests, replies and results survive the wire, in as many packets as they need; garbage is an error or nothing.
+func FuzzDecodeMessage(f *testing.F) {
+	q := lease.Request{Seq: 9, From: lease.Claimer{Name: "n1", Incarnation: 5}}
+	for i := range 100 {
+		q.Claims = append(q.Claims, lease.Claim{Duty: lease.Duty(i) << 50, Number: uint64(i)})
+	}
+	q.Releases = []lease.Claim{{Duty: 7, Number: 8}}
+	var claims, releases []lease.Claim
+	packets := encodeRequest(q)
+	for _, p := range packets {
+		m, err := decodeMessage(p[1:], 0)
+		if err != nil || m.seq != 9 || m.from != "n1" || m.life != 5 || p[0] != kindRequest || len(p) > 1200 {
+			f.Errorf("%+v, %v", m, err)
+		}
+		claims, releases = append(claims, m.claims...), append(releases, m.releases...)
+	}
+	if !slices.Equal(claims, q.Claims) || !slices.Equal(releases, q.Releases) {
+		f.Errorf("%d claims and %d releases came", len(claims), len(releases))
+	}
+	r := lease.Reply{Seq: 9, Voter: "n2", Grants: []lease.Grant{{Duty: 1 << 63, Asked: 4, Number: 5, Left: time.Second}, {Duty: 2, Asked: 6, Number: 6, Yes: true}}}
+	reply := encodeReply(r)
+	if m, err := decodeMessage(reply[1:], 0); err != nil || m.from != "n2" || !slices.Equal(m.grants, r.Grants) {
+		f.Errorf("%+v, %v", m, err)
+	}
+	var all []result
+	for i := range 200 {
+		all = append(all, result{lease.Duty(i), uint64(i), time.Second, []byte("0123456789abcdef")})
+	}
+	var got []result
+	var seeds []string
+	for rest := all; len(rest) > 0; {
+		var p []byte
+		p, rest = encodeResults(3*time.Second, rest)
+		seeds = append(seeds, string(p[1:]))
+		m, err := decodeMessage(p[1:], 10*time.Second)
+		if err != nil || len(p) > resultsMost+64 {
+			f.Errorf("%d bytes, %v", len(p), err)
+		}
+		got = append(got, m.results...)
+	}
+	if len(got) != len(all) || got[199].duty != 199 || got[0].at != 8*time.Second || string(got[5].data) != "0123456789abcdef" {
+		f.Errorf("%d results came, the first as %+v", len(got), got[0])
+	}
+	for _, s := range testkit.Broken(8, string(packets[0][1:]), string(reply[1:]), seeds[0]) {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decodeMessage(b, time.Second)
+		for _, r := range m.results {
+			if err == nil && (len(r.data) > maxPayload || r.at > time.Second) {
+				t.Errorf("%q was taken as %+v", b, m)
+			}
+		}
+	})
+}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -86,7 +86,8 @@
 	return &Voter{name: name, limits: limits, mute: now + limits.Term + limits.Margin, grants: map[Duty]*grant{}}
 }
 
-// Raise tells it of the highest number that another member has seen, so that numbers grow over its lives.
+// Raise tells it of the highest number that another member has seen, so that numbers grow over its lives. A grant that
+// it remembers keeps its own, or its holder could not renew it.
 func (v *Voter) Raise(number uint64) { v.floor = max(v.floor, number) }
 
 // Mute tells whether it still waits.
@@ -109,7 +110,6 @@
 			g = &grant{number: v.floor}
 			v.grants[c.Duty] = g
 		}
-		g.number = max(g.number, v.floor)
 		same := g.to == q.From && g.number == c.Number
 		if !same && (now < g.until || c.Number <= g.number) {
 			out.Grants = append(out.Grants, Grant{Duty: c.Duty, Asked: c.Number, Number: g.number, Left: max(g.until-now, 0)})
@@ -273,21 +273,22 @@
 // mostBackoff bounds how often the span is doubled from which failed claims draw their pause.
 const mostBackoff = 3
 
-// refused takes a voter's no. Once most voters can no longer say yes to this try, what a minority granted is given back
-// at once, since it keeps all others out, and the next try comes soon after the other's end, but not at the same time
-// as those of others: the span from which it is drawn doubles with each failure.
+// refused takes a voter's no. Once most voters can no longer say yes to this try, another holds the duty, and the next try
+// comes before long, since it may be given back. Or the votes were split: then what a minority granted is given back at
+// once, for it keeps all others out, and the next try comes at a time that is drawn from a span that doubles with each failure.
 func (h *Holder) refused(now time.Duration, c *claim, voter string, g Grant) {
 	c.noes[voter] = true
 	if len(c.noes) < len(h.voters)-len(h.voters)/2 {
 		return
 	}
+	wait, span := min(g.Left, h.limits.Renew), int64(h.limits.Renew)/2
 	if len(c.grants) > 0 {
 		h.drop = append(h.drop, Claim{g.Duty, c.number})
 		clear(c.grants)
+		wait, span = 0, span<<min(c.tries, mostBackoff)
+		c.tries++
 	}
-	span := int64(h.limits.Renew) / 2 << min(c.tries, mostBackoff)
-	c.tries++
-	c.next = now + g.Left + time.Duration(h.draw(span)+1)
+	c.next = now + wait + time.Duration(h.draw(span)+1)
 	clear(c.noes)
 }
 
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -86,6 +86,22 @@
 	return NewHolder(Claimer{name, life}, []string{"a", "b", "c"}, limits, func(int64) int64 { return 0 })
 }
 
+// A lease goes on under its number for as long as it is renewed, whatever numbers others' leases have reached.
+func TestLeaseIsRenewed(t *testing.T) {
+	v, one := newVoters(), holder("one", 1)
+	one.Want(0, map[Duty]bool{7: true})
+	for at := time.Duration(0); at < 10*time.Second; at += 50 * time.Millisecond {
+		v.round(at, one)
+		one.Raise(uint64(at))
+		for _, x := range v.all {
+			x.Raise(uint64(at))
+		}
+		if n, ok := one.Holds(at, 7); !ok || n != 1 {
+			t.Fatalf("at %v: lease %d, held %t", at, n, ok)
+		}
+	}
+}
+
 // A lease passes to another when its holder stops, at once when it says so, and never before its end otherwise; a minority
 // grants nothing, and a voter without memory waits.
 func TestLeasePasses(t *testing.T) {
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"rampspread/internal/fleet/lease"
 	"rampspread/internal/fleet/view"
 )
 
@@ -123,3 +125,187 @@
 	}
 	return i, sent, nil
 }
+
+// The kinds of message between members, by their first byte. One that is not known is passed over.
+const (
+	kindBeat    = 1
+	kindRequest = 2
+	kindReply   = 3
+	kindResults = 4
+)
+
+// Fields of requests, replies and results. Claims and grants are packed as numbers in a row.
+const (
+	fieldSeq      = 1
+	fieldFrom     = 2 // or the voter's name
+	fieldLife     = 3
+	fieldClaims   = 4 // duty, number, …
+	fieldReleases = 5
+	fieldGrants   = 6 // duty, asked, number, yes (1) or no (0), µs left, …
+	fieldResult   = 7 // duty, number, age in µs, data
+
+	claimsMost = 40 // in a packet
+)
+
+func packed(b []byte, field protowire.Number, numbers []uint64) []byte {
+	if len(numbers) == 0 {
+		return b
+	}
+	var in []byte
+	for _, n := range numbers {
+		in = protowire.AppendVarint(in, n)
+	}
+	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), in)
+}
+
+func unpack(b []byte) ([]uint64, error) {
+	var out []uint64
+	for len(b) > 0 {
+		v, n := protowire.ConsumeVarint(b)
+		if n < 0 {
+			return nil, fmt.Errorf("fleet: message: %w", protowire.ParseError(n))
+		}
+		out, b = append(out, v), b[n:]
+	}
+	return out, nil
+}
+
+func heading(kind byte, seq uint64, from string, life uint64) []byte {
+	b := protowire.AppendVarint(protowire.AppendTag([]byte{kind}, fieldSeq, protowire.VarintType), seq)
+	b = protowire.AppendString(protowire.AppendTag(b, fieldFrom, protowire.BytesType), from)
+	return protowire.AppendVarint(protowire.AppendTag(b, fieldLife, protowire.VarintType), life)
+}
+
+// encodeRequest makes packets of a request, each with a part of its claims.
+func encodeRequest(q lease.Request) (out [][]byte) {
+	numbers := func(claims []lease.Claim) (n []uint64) {
+		for _, c := range claims {
+			n = append(n, uint64(c.Duty), c.Number)
+		}
+		return n
+	}
+	claims, releases := q.Claims, q.Releases
+	for len(claims) > 0 || len(releases) > 0 {
+		b := heading(kindRequest, q.Seq, q.From.Name, q.From.Incarnation)
+		n := min(len(releases), claimsMost)
+		b = packed(b, fieldReleases, numbers(releases[:n]))
+		releases = releases[n:]
+		n = min(len(claims), claimsMost-n)
+		b = packed(b, fieldClaims, numbers(claims[:n]))
+		claims = claims[n:]
+		out = append(out, b)
+	}
+	return out
+}
+
+func encodeReply(r lease.Reply) []byte {
+	var n []uint64
+	for _, g := range r.Grants {
+		yes := uint64(0)
+		if g.Yes {
+			yes = 1
+		}
+		n = append(n, uint64(g.Duty), g.Asked, g.Number, yes, uint64(g.Left.Microseconds()))
+	}
+	return packed(heading(kindReply, r.Seq, r.Voter, 0), fieldGrants, n)
+}
+
+// encodeResults makes one packet of the first results, and returns the rest.
+func encodeResults(now time.Duration, results []result) (b []byte, rest []result) {
+	b = []byte{kindResults}
+	for i, r := range results {
+		in := protowire.AppendVarint(nil, uint64(r.duty))
+		in = protowire.AppendVarint(in, r.number)
+		in = protowire.AppendVarint(in, uint64(max(now-r.at, 0).Microseconds()))
+		in = append(in, r.data...)
+		if i > 0 && len(b)+len(in)+4 > resultsMost {
+			return b, results[i:]
+		}
+		b = protowire.AppendBytes(protowire.AppendTag(b, fieldResult, protowire.BytesType), in)
+	}
+	return b, nil
+}
+
+// message is what a packet of the kinds above says.
+type message struct {
+	seq, life        uint64
+	from             string
+	claims, releases []lease.Claim
+	grants           []lease.Grant
+	results          []result
+}
+
+// maxAge bounds what a result says of its age.
+const maxAge = time.Hour
+
+// decodeMessage reads a packet behind its kind. now is when it came.
+func decodeMessage(b []byte, now time.Duration) (m message, err error) {
+	for len(b) > 0 {
+		field, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return m, fmt.Errorf("fleet: message: %w", protowire.ParseError(n))
+		}
+		b = b[n:]
+		if n = protowire.ConsumeFieldValue(field, kind, b); n < 0 {
+			return m, fmt.Errorf("fleet: message: %w", protowire.ParseError(n))
+		}
+		value := b[:n]
+		b = b[n:]
+		if kind == protowire.VarintType {
+			v, _ := protowire.ConsumeVarint(value)
+			switch field {
+			case fieldSeq:
+				m.seq = v
+			case fieldLife:
+				m.life = v
+			}
+			continue
+		}
+		if kind != protowire.BytesType {
+			continue
+		}
+		text, _ := protowire.ConsumeBytes(value)
+		switch field {
+		case fieldFrom:
+			if len(text) > maxText {
+				return m, errFormat
+			}
+			m.from = string(text)
+		case fieldClaims, fieldReleases:
+			numbers, err := unpack(text)
+			if err != nil || len(numbers)%2 != 0 {
+				return m, errFormat
+			}
+			for c := range slices.Chunk(numbers, 2) {
+				if claim := (lease.Claim{Duty: lease.Duty(c[0]), Number: c[1]}); field == fieldClaims {
+					m.claims = append(m.claims, claim)
+				} else {
+					m.releases = append(m.releases, claim)
+				}
+			}
+		case fieldGrants:
+			numbers, err := unpack(text)
+			if err != nil || len(numbers)%5 != 0 {
+				return m, errFormat
+			}
+			for g := range slices.Chunk(numbers, 5) {
+				m.grants = append(m.grants, lease.Grant{Duty: lease.Duty(g[0]), Asked: g[1], Number: g[2], Yes: g[3] == 1,
+					Left: time.Duration(min(g[4], uint64(maxAge.Microseconds()))) * time.Microsecond})
+			}
+		case fieldResult:
+			var v [3]uint64
+			for i := range v {
+				x, n := protowire.ConsumeVarint(text)
+				if n < 0 {
+					return m, errFormat
+				}
+				v[i], text = x, text[n:]
+			}
+			if len(text) > maxPayload || v[2] > uint64(maxAge.Microseconds()) {
+				return m, errFormat
+			}
+			m.results = append(m.results, result{lease.Duty(v[0]), v[1], now - time.Duration(v[2])*time.Microsecond, slices.Clone(text)})
+		}
+	}
+	return m, nil
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"rampspread/internal/fleet/lease"
 	"rampspread/internal/fleet/view"
 )
 
@@ -54,6 +55,8 @@
 	// Facts is asked often, from the node's own goroutine; it must not block.
 	Facts func() Facts
 	Seed  uint64
+	// Work is what the fleet does in turn; nil: nothing.
+	Work Work
 }
 
 // Node is this process in the fleet. Its goroutines stop by Close.
@@ -67,10 +70,12 @@
 	beats atomic.Int64
 	view  atomic.Pointer[view.View]
 	left  atomic.Bool
-	skews sync.Map // name -> time.Duration, by the last beat
+	up    atomic.Bool // list is there
+	skews sync.Map    // name -> time.Duration, by the last beat
 	done  chan struct{}
 	stop  context.CancelFunc
 
+	duties *duties // nil: none
 	failed func(error)
 	twice  sync.Once
 
@@ -113,12 +118,16 @@
 	m.EnableCompression = false // what is said is small
 	m.Delegate, m.Events, m.Conflict, m.Merge = n, n, n, n
 	m.Logger = logger
+	if self.Work != nil && len(cfg.Voters) > 0 {
+		n.duties = newDuties(n, self.Work)
+	}
 	// A name that was given up may come back at once, from wherever the list says that it is.
 	m.DeadNodeReclaimTime = time.Millisecond
 	if n.list, err = memberlist.Create(m); err != nil {
 		t.Shutdown()
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
+	n.up.Store(true)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go n.run(ctx)
@@ -171,6 +180,22 @@
 	for _, to := range others[:min(firstCalls, len(others))] {
 		go n.list.Join([]string{to}) // one that is not there yet is called upon later
 	}
+	if n.duties != nil {
+		var work sync.WaitGroup
+		defer work.Wait()
+		work.Go(func() {
+			t := time.NewTicker(dutyTick)
+			defer t.Stop()
+			for {
+				select {
+				case <-t.C:
+					n.duties.step(n.now())
+				case <-ctx.Done():
+					return
+				}
+			}
+		})
+	}
 	ticks := time.NewTicker(tick)
 	defer ticks.Stop()
 	nextBeat, nextCall := n.now(), n.now()
@@ -219,10 +244,25 @@
 	return told
 }
 
+// sign is a beat's message; the caller holds the lock.
+func (n *Node) sign() []byte {
+	return append([]byte{kindBeat}, encode(n.info, time.Now().UnixMilli())...)
+}
+
+// send sends a message to a member that is there; else it is dropped, as datagrams are.
+func (n *Node) send(name string, msg []byte) {
+	for _, to := range n.list.Members() {
+		if to.Name == name {
+			n.list.SendBestEffort(to, msg)
+			return
+		}
+	}
+}
+
 // beat sends a sign of life to the next of the members that are there.
 func (n *Node) beat(at int) int {
 	n.mu.Lock()
-	msg := encode(n.info, time.Now().UnixMilli())
+	msg := n.sign()
 	n.mu.Unlock()
 	nodes := n.list.Members()
 	slices.SortFunc(nodes, func(a, b *memberlist.Node) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
@@ -269,7 +309,7 @@
 	// By gossip the news that it is gone may overtake the news that it goes, so it says goodbye to each as well.
 	for range goodbyes {
 		n.mu.Lock()
-		msg := encode(n.info, time.Now().UnixMilli())
+		msg := n.sign()
 		n.mu.Unlock()
 		for _, to := range n.list.Members() {
 			if to.Name != n.self.Name {
@@ -300,8 +340,41 @@
 	return b[:min(len(b), limit)] // fields are bounded so that it always fits
 }
 
-// NotifyMsg implements memberlist.Delegate: a beat came.
+// NotifyMsg implements memberlist.Delegate: a beat came, or a message of the duties.
 func (n *Node) NotifyMsg(b []byte) {
+	if len(b) == 0 {
+		n.bad.Add(1)
+		return
+	}
+	if b[0] == kindBeat {
+		n.beaten(b[1:])
+		return
+	}
+	if n.duties == nil || !n.up.Load() {
+		return
+	}
+	m, err := decodeMessage(b[1:], n.now())
+	if err != nil {
+		n.bad.Add(1)
+		return
+	}
+	switch b[0] {
+	case kindRequest:
+		if m.from == n.self.Name || n.cfg.address(m.from) == "" {
+			n.bad.Add(1)
+			return
+		}
+		n.duties.answer(lease.Request{Seq: m.seq, From: lease.Claimer{Name: m.from, Incarnation: m.life}, Claims: m.claims, Releases: m.releases}, m.from)
+	case kindReply:
+		n.duties.mu.Lock()
+		n.duties.holder.Take(n.now(), lease.Reply{Seq: m.seq, Voter: m.from, Grants: m.grants})
+		n.duties.mu.Unlock()
+	case kindResults:
+		n.duties.take(m.results, false)
+	}
+}
+
+func (n *Node) beaten(b []byte) {
 	i, sent, err := decode(b)
 	if err != nil {
 		n.bad.Add(1)
@@ -461,6 +534,14 @@
 	SkewMS      int64   `json:"skew_ms"` // of its clock against ours, and the way of its beat
 }
 
+// Duties is who does what, for operators; ok is false where nothing is done in turn.
+func (n *Node) Duties() (s DutiesStatus, ok bool) {
+	if n.duties == nil {
+		return s, false
+	}
+	return n.duties.status(), true
+}
+
 // Status is who is there, for operators.
 func (n *Node) Status() Status {
 	now := n.now()
--- /dev/null
+++ b/internal/fleet/work/work.go
@@ -0,0 +1,206 @@
+// Package work is what a fleet does in turn: one member asks a replica for its load on behalf of all, and one looks at
+// discovery's list. What they find goes to the core as evidence, and brings a dispatcher that was left behind up to date.
+package work
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"math"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rampspread/decide"
+	"rampspread/internal/core"
+	"rampspread/internal/fleet"
+)
+
+const (
+	probe      = "probe/" // and a replica's name
+	list       = "list"
+	probeEvery = 400 * time.Millisecond
+	probeWait  = 200 * time.Millisecond // as long as the core waits for a load
+	listEvery  = 2 * time.Second
+	listWait   = time.Second
+	// A dispatcher whose list is older than the one that was found asks for it anew after so long.
+	behindFor = 1500 * time.Millisecond
+)
+
+// Prober asks replicas for their load.
+type Prober interface {
+	ProbeFor(duty string, to core.Target, limit time.Duration, told func(*decide.Load))
+}
+
+// Lists is this dispatcher's own way to discovery's list.
+type Lists interface {
+	Version() uint64
+	Peek(ctx context.Context) (version uint64, err error)
+	Refresh()
+}
+
+// Tasks implements fleet.Work.
+type Tasks struct {
+	prober  Prober
+	lists   Lists
+	heard   func([]core.Heard) bool
+	now     func() time.Time
+	dropped atomic.Int64 // news that the core had no room for
+	bad     atomic.Int64
+	renewed atomic.Int64 // lists that were asked for anew
+
+	mu      sync.Mutex
+	targets map[string]core.Target
+	behind  time.Time // since when this dispatcher's list is older; zero: it is not
+}
+
+// New returns the tasks; heard takes news for the core and must not block. Without a prober replicas are not asked.
+func New(prober Prober, lists Lists, heard func([]core.Heard) bool, now func() time.Time) *Tasks {
+	return &Tasks{prober: prober, lists: lists, heard: heard, now: now, targets: map[string]core.Target{}}
+}
+
+// Bad is how many results made no sense, Renewed how many times a list was asked for anew, Dropped how many news the core
+// had no room for.
+func (t *Tasks) Bad() int64     { return t.bad.Load() }
+func (t *Tasks) Renewed() int64 { return t.renewed.Load() }
+func (t *Tasks) Dropped() int64 { return t.dropped.Load() }
+
+// Roster takes discovery's list, or changes to it, as the core does.
+func (t *Tasks) Roster(full bool, entries []core.Listing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if full {
+		clear(t.targets)
+	}
+	for _, e := range entries {
+		if e.State == decide.Ready {
+			t.targets[e.Name] = core.Target{Name: e.Name, Addr: e.Addr}
+		} else {
+			delete(t.targets, e.Name)
+		}
+	}
+}
+
+// Duties implements fleet.Work.
+func (t *Tasks) Duties() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []string{list}
+	if t.prober != nil {
+		for name := range t.targets {
+			out = append(out, probe+name)
+		}
+	}
+	return out
+}
+
+// Every implements fleet.Work.
+func (t *Tasks) Every(duty string) time.Duration {
+	if duty == list {
+		return listEvery
+	}
+	return probeEvery
+}
+
+// Do implements fleet.Work.
+func (t *Tasks) Do(duty string, number uint64, done func([]byte)) {
+	if duty == list {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), listWait)
+			defer cancel()
+			version, err := t.lists.Peek(ctx)
+			if err != nil {
+				slog.Debug("list_duty", "err", err)
+				done(nil)
+				return
+			}
+			done(binary.AppendUvarint(nil, version))
+		}()
+		return
+	}
+	name, _ := strings.CutPrefix(duty, probe)
+	t.mu.Lock()
+	to, ok := t.targets[name]
+	t.mu.Unlock()
+	if !ok || t.prober == nil {
+		done(nil)
+		return
+	}
+	t.prober.ProbeFor(fmt.Sprintf("%s %d", duty, number), to, probeWait, func(l *decide.Load) { done(encodeLoad(l)) })
+}
+
+// encodeLoad packs a report into 17 bytes; nil: the replica told none.
+func encodeLoad(l *decide.Load) []byte {
+	if l == nil {
+		return []byte{0}
+	}
+	b := []byte{1}
+	for _, v := range []float64{l.Memory, l.Waiting, l.Queue, l.Busy} {
+		b = binary.LittleEndian.AppendUint32(b, math.Float32bits(float32(v)))
+	}
+	return b
+}
+
+func decodeLoad(b []byte) (*decide.Load, error) {
+	if len(b) == 1 && b[0] == 0 {
+		return nil, nil
+	}
+	if len(b) != 17 || b[0] != 1 {
+		return nil, fmt.Errorf("work: a load of %d bytes", len(b))
+	}
+	var v [4]float64
+	for i := range v {
+		v[i] = float64(math.Float32frombits(binary.LittleEndian.Uint32(b[1+4*i:])))
+		if math.IsNaN(v[i]) || v[i] > 1e9 || v[i] < -1 {
+			return nil, fmt.Errorf("work: a load of %v", v[i])
+		}
+	}
+	return &decide.Load{Memory: v[0], Waiting: v[1], Queue: v[2], Busy: v[3]}, nil
+}
+
+// Told implements fleet.Work.
+func (t *Tasks) Told(found []fleet.Found) {
+	var news []core.Heard
+	for _, f := range found {
+		if f.Duty == list {
+			version, n := binary.Uvarint(f.Data)
+			if n <= 0 {
+				t.bad.Add(1)
+				continue
+			}
+			t.compare(version)
+			continue
+		}
+		l, err := decodeLoad(f.Data)
+		if err != nil {
+			t.bad.Add(1)
+			continue
+		}
+		news = append(news, core.Heard{Name: strings.TrimPrefix(f.Duty, probe), Load: l, Age: f.Age})
+	}
+	if len(news) > 0 && !t.heard(news) {
+		t.dropped.Add(int64(len(news)))
+	}
+}
+
+// compare asks for the list anew where this dispatcher has been told less than another was, for a while.
+func (t *Tasks) compare(version uint64) {
+	now := t.now()
+	t.mu.Lock()
+	behind := t.lists.Version() < version
+	renew := behind && !t.behind.IsZero() && now.Sub(t.behind) >= behindFor
+	switch {
+	case !behind || renew:
+		t.behind = time.Time{}
+	case t.behind.IsZero():
+		t.behind = now
+	}
+	t.mu.Unlock()
+	if renew {
+		t.renewed.Add(1)
+		slog.Info("list_behind", "own", t.lists.Version(), "found", version)
+		t.lists.Refresh()
+	}
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -35,6 +35,9 @@
 	for i, name := range r.names {
 		f.Members = append(f.Members, fleet.Peer{Name: name, Address: r.addrs.public(i)})
 	}
+	if !r.options.NoDuties { // the first ones vote
+		f.Voters = r.names[:min(3, (len(r.names)-1)|1)]
+	}
 	text, err := json.Marshal(f)
 	if err != nil {
 		return "", fmt.Errorf("fleet file: %w", err)
@@ -207,3 +210,35 @@
 	}
 	return took, falsely
 }
+
+// duties is the longest time in which a replica that was there was not probed for the fleet, from settle on, how many
+// probes came for a lease after another had followed it, and how many came in all.
+func duties(events []history.Event, settle, end time.Duration) (gap float64, doubled, all int) {
+	last, most := map[string]time.Duration{}, map[string]float64{}
+	away := map[string]bool{}
+	look := func(replica string, at time.Duration) {
+		if l, ok := last[replica]; ok && !away[replica] && at > settle {
+			gap = max(gap, (at - max(l, settle)).Seconds())
+		}
+		last[replica] = at
+	}
+	for _, e := range events {
+		switch {
+		case e.At > end:
+		case e.Kind == history.Probe && e.Class == dutyProbe:
+			all++
+			look(e.Replica, e.At)
+			away[e.Replica] = false
+			if e.Weight < most[e.Replica] {
+				doubled++
+			}
+			most[e.Replica] = max(most[e.Replica], e.Weight)
+		case e.Kind == history.Told || e.Kind == history.Cold:
+			away[e.Replica] = true // until its first probe again
+		}
+	}
+	for replica := range last {
+		look(replica, end)
+	}
+	return gap, doubled, all
+}
--- a/internal/rig/replica.go
+++ b/internal/rig/replica.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -222,6 +223,9 @@
 	return s
 }
 
+// dutyProbe is the class of a probe on behalf of the fleet; its lease's number is the event's weight.
+const dutyProbe = "duty"
+
 // connKey finds the connection of a call.
 type connKey struct{}
 
@@ -250,7 +254,12 @@
 		return
 	}
 	if q.Method == http.MethodGet && (q.URL.Path == "/load" || q.URL.Path == "/healthz") {
-		h.Add(history.Event{Kind: history.Probe, Replica: r.name, Dispatcher: dispatcher})
+		e := history.Event{Kind: history.Probe, Replica: r.name, Dispatcher: dispatcher}
+		if _, number, ok := strings.Cut(q.Header.Get("X-Duty"), " "); ok {
+			e.Class = dutyProbe
+			e.Weight, _ = strconv.ParseFloat(number, 64)
+		}
+		h.Add(e)
 		io.WriteString(w, r.load())
 		return
 	}
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -42,6 +42,11 @@
 	// one showed another falsely as suspect or worse.
 	DetectS   []float64 `json:"detect_s,omitempty"`
 	Suspected int       `json:"falsely_suspected"`
+	// Probes on behalf of the fleet, as the replicas saw them: the longest gap at any, those of leases that another had
+	// followed, and how many a replica got in a second.
+	GapS    float64 `json:"gap_max_s"`
+	Doubled int     `json:"probes_doubled"`
+	Duty    float64 `json:"duty_probes_per_replica_s"`
 	// What the dispatchers that ran at the end took: the most of any in MB and descriptors, the mean share of a core, and
 	// what a member sent to others in bytes a second, with the answers that it got.
 	RSSMB     float64 `json:"rss_mb_most"`
@@ -57,6 +62,9 @@
 // Good tells whether no rule broke and nothing crashed.
 func (r *Report) Good() bool { return r.RulesBroken == 0 && r.Crashes == 0 }
 
+// dutySettle is how long after a day's begin duties are held by all: voters that start wait for a term.
+const dutySettle = 3 * time.Second
+
 const (
 	window   = time.Second
 	recovers = 0.95 // of the level before, for
@@ -118,6 +126,9 @@
 		}
 	}
 	out.DetectS, out.Suspected = detection(events, r.names)
+	n = 0
+	out.GapS, out.Doubled, n = duties(events, base+dutySettle, base+seconds(r.scenario.Seconds))
+	out.Duty = float64(n) / float64(len(r.cluster.replicas)) / r.scenario.Seconds
 	out.Probes = float64(probes) / float64(len(r.cluster.replicas)) / r.scenario.Seconds
 	out.spans = r.spans
 	return out
@@ -195,6 +206,9 @@
 		sorted := slices.Sorted(slices.Values(r.DetectS))
 		fmt.Fprintf(t, "noticed\tp50 %.2f s\tmost %.2f s\tof %d\n", sorted[n/2], sorted[n-1], n)
 	}
+	if r.Duty > 0 {
+		fmt.Fprintf(t, "for the fleet\t%.2f probes a replica and second\tlongest gap\t%.2f s\tdoubled\t%d\n", r.Duty, r.GapS, r.Doubled)
+	}
 	if r.Suspected > 0 {
 		fmt.Fprintf(t, "falsely suspected\t%d\n", r.Suspected)
 	}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	Dir         string // for the processes' files and logs; none: a temporary one, removed at the end unless a rule broke
 	Log         *slog.Logger
 	Fleet       bool // the dispatchers know of each other
+	NoDuties    bool // and do nothing in turn
 	// Rate is a factor on the scenario's rate; 0 means 1.
 	Rate float64
 }
@@ -298,7 +300,11 @@
 		return nil
 	}
 	many := max(1, int(math.Round(f.Part*float64(n))))
-	return rng.Perm(n)[:many]
+	out := rng.Perm(n)
+	if spare := min(f.Spare, n-1); actions[f.Do] == "dispatchers" {
+		out = slices.DeleteFunc(out, func(d int) bool { return d < spare })
+	}
+	return out[:min(many, len(out))]
 }
 
 // spacing is the time between the targets of a fault that goes in turn: as the scenario says, but all have had their turn
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -38,6 +38,8 @@
 	Do  string  `json:"do"`
 	// Part is the share of the dispatchers or replicas that it befalls, drawn by the seed; 0: one of them.
 	Part float64 `json:"part"`
+	// Spare is how many of the first dispatchers it leaves alone; the first three vote in a fleet.
+	Spare int `json:"spare"`
 	// Every lets it befall them in turn, so long after one another; 0: all at once.
 	Every float64 `json:"every"`
 	// Zone is the zone that a zone's fault befalls.
@@ -120,6 +122,8 @@
 		return fmt.Errorf("from %v for %v s is not within the day", f.At, f.For)
 	case !(f.Part >= 0 && f.Part <= 1) || !(f.Every >= 0):
 		return errors.New("part or every is out of range")
+	case f.Spare < 0 || f.Spare > maxDispatchers:
+		return fmt.Errorf("spare %d is out of range", f.Spare)
 	case f.Sides < 0 || f.Sides > 9:
 		return fmt.Errorf("sides %d are not up to 9", f.Sides)
 	case f.Zone < 0 || f.Zone >= s.Zones:
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -371,8 +371,16 @@
 
 // Probe implements core.Servers.
 func (p *Pool) Probe(to core.Target, limit time.Duration, told func(*decide.Load)) {
+	p.ProbeFor("", to, limit, told)
+}
+
+// dutyHeader tells a replica for which lease of the fleet's duties it is asked.
+const dutyHeader = "X-Duty"
+
+// ProbeFor is Probe on behalf of the fleet; duty says under which lease.
+func (p *Pool) ProbeFor(duty string, to core.Target, limit time.Duration, told func(*decide.Load)) {
 	go func() {
-		l, err := p.probe(to, limit)
+		l, err := p.probe(duty, to, limit)
 		if err != nil {
 			slog.Warn("probe_failed", "server", to.Name, "err", err)
 		}
@@ -380,8 +388,8 @@
 	}()
 }
 
-func (p *Pool) probe(to core.Target, limit time.Duration) (*decide.Load, error) {
-	resp, data, err := p.short(http.MethodGet, to, loadPath, limit)
+func (p *Pool) probe(duty string, to core.Target, limit time.Duration) (*decide.Load, error) {
+	resp, data, err := p.short(http.MethodGet, to, loadPath, duty, limit)
 	if err != nil {
 		return nil, fmt.Errorf("load: %w", err)
 	}
@@ -392,7 +400,7 @@
 }
 
 // short makes a call without a body and reads its short answer.
-func (p *Pool) short(method string, to core.Target, path string, limit time.Duration) (*http.Response, []byte, error) {
+func (p *Pool) short(method string, to core.Target, path, duty string, limit time.Duration) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { usable(info) }})
@@ -400,6 +408,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if duty != "" {
+		req.Header.Set(dutyHeader, duty)
+	}
 	resp, err := p.transport.RoundTrip(req)
 	if err != nil {
 		return nil, nil, err
@@ -422,7 +433,7 @@
 }
 
 func (p *Pool) release(id string, to core.Target) error {
-	resp, _, err := p.short(http.MethodDelete, to, roomsPath+url.PathEscape(id), releaseTry)
+	resp, _, err := p.short(http.MethodDelete, to, roomsPath+url.PathEscape(id), "", releaseTry)
 	if err != nil {
 		return fmt.Errorf("release through %s: %w", to.Name, err)
 	}
