--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -232,3 +232,27 @@
 		return len(gone) == 1
 	})
 }
+
+// News from other dispatchers reaches the module by name, strangers are passed over, and nobody waits for room.
+func TestHeardNeverWaits(t *testing.T) {
+	_, c := start(t)
+	if !c.Heard([]core.Heard{{Name: "r1", Load: &decide.Load{Queue: 1}}, {Name: "stranger"}}) {
+		t.Fatal("no room in an empty queue")
+	}
+	if n := c.Counters(context.Background()); n.Heard != 1 {
+		t.Errorf("counters %+v", n)
+	}
+	cfg, err := testkit.Settings(t).Router()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped, err := core.New(cfg, 1, &hand{}) // nobody takes from its queue
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := 0; stopped.Heard([]core.Heard{{Name: "r1"}}); n++ {
+		if n > 1<<20 {
+			t.Fatal("a queue without bounds")
+		}
+	}
+}
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -406,6 +406,25 @@
 	}
 }
 
+// A replica is told for which lease of the fleet it is asked, and nothing where a dispatcher asks for itself.
+func TestProbeForTheFleet(t *testing.T) {
+	duties := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		duties <- r.Header.Get("X-Duty")
+		io.WriteString(w, "TEXT util=0.5, queue=1, x0=0.2")
+	}))
+	defer s.Close()
+	pool := servers.New(testkit.Settings(t), 8, 8)
+	defer pool.Close()
+	for _, duty := range []string{"", "probe/r 7"} {
+		told := make(chan *decide.Load, 1)
+		pool.ProbeFor(duty, core.Target{Name: "r", Addr: s.Listener.Addr().String()}, time.Second, func(l *decide.Load) { told <- l })
+		if got, l := <-duties, <-told; got != duty || l == nil || l.Queue != 1 {
+			t.Errorf("asked for %q, told %+v; want %q", got, l, duty)
+		}
+	}
+}
+
 // FuzzAnswer feeds a replica's bytes to the client side: whatever comes, there is one end and no panic.
 func FuzzAnswer(f *testing.F) {
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
