Take another's word of a load only where this router would ask, since a load does not tell a slow reader

Change: news of a load counts only where the router sees less than one recent read of each reader, as with its own asking. Test with it.

--- a/decide/heard_test.go
+++ b/decide/heard_test.go
@@ -45,6 +45,15 @@
 		t.Errorf("another's newer word was passed over: %v", s.load)
 	}
 
+	b = start()
+	for range 50 { // it sees enough itself: which reader is slow is more than how many wait there
+		b.r.scatter.add(b.now, 0)
+	}
+	tell(b, 0, 0, 20)
+	if b.r.evidence() < thin || b.r.told(b.r.byID[1]) {
+		t.Errorf("with evidence of %v another's load was taken", b.r.evidence())
+	}
+
 	b = start()
 	s := b.r.byID[2]
 	alive, health := s.heard, s.health[0].now(b.now)
--- a/decide/state.go
+++ b/decide/state.go
@@ -160,8 +160,9 @@
 	heardWeight = hardWeight / 2
 )
 
-// hear takes what another router found out about a server, as evidence that fades with its age. Own later evidence goes
-// first. It never makes a server count as alive here: the way from here may be cut, though another's is not.
+// hear takes what another router found out about a server, as evidence that fades with its age. Own evidence goes first:
+// a router that sees enough reads of its own knows which servers are slow, and a load alone does not tell that, so the
+// word is taken where this router would ask. It never makes a server count as alive here: the way from here may be cut, though another's is not.
 func (r *Router) hear(e Heard) {
 	s := r.byID[e.Server]
 	at := r.now - e.Age
@@ -171,7 +172,7 @@
 		if s.heard < at {
 			s.health[0].move(r.now, 1, heardWeight*float64(heardFor-e.Age)/float64(heardFor))
 		}
-	default:
+	case r.evidence() < thin:
 		if fresh := r.now - e.Age*time.Duration(loadFresh)/heardFor; fresh > s.loadAt {
 			s.takeLoad(e.Load, at, fresh)
 		}
