Send to members by the list's addresses, not by nodes that memberlist changes under the reader

Cause: the race detector found memberlist writing a Node (aliveNode) that Members had handed out and send read. Change: whom to send to comes from the own view, the address from the fleet's file.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -35,6 +35,7 @@
 	TermMS int `json:"term_ms"`
 
 	key   []byte
+	addrs map[string]string // by name
 	probe time.Duration
 	term  time.Duration
 }
@@ -101,6 +102,7 @@
 		c.probe = defaultProbe
 	}
 	names, addrs := map[string]bool{}, map[string]bool{}
+	c.addrs = map[string]string{}
 	for i, m := range c.Members {
 		if m.Name == "" || len(m.Name) > maxName {
 			return nil, fmt.Errorf("fleet: member %d: its name has %d bytes, not from 1 to %d", i, len(m.Name), maxName)
@@ -109,6 +111,7 @@
 			return nil, fmt.Errorf("fleet: member %q: its name or address %s stands twice", m.Name, m.Address)
 		}
 		names[m.Name], addrs[m.Address] = true, true
+		c.addrs[m.Name] = m.Address
 		if err := private(m.Address); err != nil {
 			return nil, fmt.Errorf("fleet: member %q: %w", m.Name, err)
 		}
@@ -144,15 +147,8 @@
 	return nil
 }
 
-// address is where others reach a name.
-func (c *Config) address(name string) string {
-	for _, m := range c.Members {
-		if m.Name == name {
-			return m.Address
-		}
-	}
-	return ""
-}
+// address is where others reach a name; none for one that is not on the list.
+func (c *Config) address(name string) string { return c.addrs[name] }
 
 // names are all that may be in the fleet.
 func (c *Config) names() []string {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -249,14 +248,11 @@
 	return append([]byte{kindBeat}, encode(n.info, time.Now().UnixMilli())...)
 }
 
-// send sends a message to a member that is there; else it is dropped, as datagrams are.
-func (n *Node) send(name string, msg []byte) {
-	for _, to := range n.list.Members() {
-		if to.Name == name {
-			n.list.SendBestEffort(to, msg)
-			return
-		}
-	}
+// send sends a message to a member by one datagram. Its address is the list's: the nodes that memberlist hands out change
+// under the reader.
+func (n *Node) send(name string, msg []byte) bool {
+	addr := n.cfg.address(name)
+	return addr != "" && n.list.SendToAddress(memberlist.Address{Addr: addr, Name: name}, msg) == nil
 }
 
 // beat sends a sign of life to the next of the members that are there.
@@ -264,19 +260,27 @@
 	n.mu.Lock()
 	msg := n.sign()
 	n.mu.Unlock()
-	nodes := n.list.Members()
-	slices.SortFunc(nodes, func(a, b *memberlist.Node) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
-	for range min(fanout, len(nodes)) {
-		at = (at + 1) % len(nodes)
-		if to := nodes[at]; to.Name != n.self.Name {
-			if n.list.SendBestEffort(to, msg) == nil {
-				n.beats.Add(1)
-			}
+	there := n.there()
+	for range min(fanout, len(there)) {
+		at = (at + 1) % len(there)
+		if n.send(there[at], msg) {
+			n.beats.Add(1)
 		}
 	}
 	return at
 }
 
+// there are the others that have not been given up and have not left, by name.
+func (n *Node) there() []string {
+	var out []string
+	for _, m := range n.View().Members {
+		if m.Name != n.self.Name && (m.Counts() || m.State == view.Joining) {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
 // callMissing calls upon one of those that are not there, so that sides of a partition find each other again.
 func (n *Node) callMissing() {
 	if n.left.Load() {
@@ -301,6 +305,7 @@
 	if n.left.Swap(true) {
 		return
 	}
+	there := n.there()
 	n.mu.Lock()
 	n.info.Leaving, n.info.Serving = true, false
 	n.table.Self(n.info, n.now())
@@ -311,10 +316,8 @@
 		n.mu.Lock()
 		msg := n.sign()
 		n.mu.Unlock()
-		for _, to := range n.list.Members() {
-			if to.Name != n.self.Name {
-				n.list.SendBestEffort(to, msg)
-			}
+		for _, name := range there {
+			n.send(name, msg)
 		}
 		time.Sleep(goodbyeWait)
 	}
