Let a replacing process wait for its peer address, and give up duties at once when going

Change: the node waits for its address while the process serves, and takes its place when the first says goodbye, which then closes its node at once; a going process releases what it holds. The relay of the rig replays packets: none of an ended life changes anything. Tests: replacement in the package, replay with real processes.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -302,7 +302,10 @@
 	slog.Info("draining")
 	p.state.Stopping.Store(true)
 	if p.fleet != nil {
-		go p.fleet.Leave()
+		go func() {
+			p.fleet.Leave()
+			p.fleet.Close() // a process that replaces this one has its address
+		}()
 	}
 	time.Sleep(lameDuck)
 	for _, s := range p.servers {
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -98,6 +98,7 @@
 	budget     float64
 	forgotten  time.Duration
 	lapsedSeen *lease.Lapse
+	ended      bool // this process goes
 }
 
 // result is a Found on its way.
@@ -161,6 +162,14 @@
 	}
 }
 
+// end gives up all that is held: this process goes, and others may go on at once.
+func (d *duties) end() {
+	d.mu.Lock()
+	d.ended = true
+	d.mu.Unlock()
+	d.step(d.node.now())
+}
+
 // assign works out whose each duty is, when the duties or those who count have changed; the caller holds the lock.
 func (d *duties) assign(now time.Duration, v view.View) {
 	names := d.work.Duties()
@@ -196,6 +205,9 @@
 // holds the lock.
 func (d *duties) wants(now time.Duration, v view.View) map[lease.Duty]bool {
 	out := map[lease.Duty]bool{}
+	if d.ended {
+		return out
+	}
 	self := d.node.self.Name
 	for duty := range d.names {
 		if d.assigned.Owner[duty] == self {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -149,6 +149,27 @@
 	}
 }
 
+// A process that is to replace another waits for its address while that one serves, and takes its place when it goes.
+func TestReplacement(t *testing.T) {
+	text := file("f", key, 70, 71)
+	one, first := start(t, text, 70, nil), start(t, text, 71, nil)
+	comes(t, one, "n71", view.Alive)
+	second := start(t, text, 71, nil)
+	if second.up.Load() || second.View().Fresh(second.Now(), FreshFor) {
+		t.Error("up beside the first, or fresh without having heard anybody")
+	}
+	first.Leave()
+	first.Close()
+	testkit.Eventually(t, "the second in its place", func() bool {
+		m := one.Status().Members[1]
+		return m.State == "alive" && m.Lives == 2
+	})
+	comes(t, second, "n70", view.Alive)
+	if c := one.View().Conflicts; len(c) > 0 {
+		t.Errorf("conflicts %v", c)
+	}
+}
+
 // A name that is in use is refused to the second process, and shown.
 func TestNameTwice(t *testing.T) {
 	text := file("f", key, 40, 41)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -9,9 +9,11 @@
 	"log"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -86,7 +88,8 @@
 // ErrTwice says that another process of the same name is in the fleet.
 var ErrTwice = errors.New("fleet: the name is in use")
 
-// Start listens for the others and returns; they are called upon for as long as the node runs. Failed is called once, with
+// Start listens for the others and returns; they are called upon for as long as the node runs. While another process has the
+// address, as when this one is to replace it, the node waits for it without harm to what the process serves. Failed is called once, with
 // ErrTwice, if a member that this process calls upon knows a living one of the same name at another address.
 func Start(cfg *Config, self Self, failed func(error)) (*Node, error) {
 	n := &Node{cfg: cfg, self: self, start: time.Now(), done: make(chan struct{}), failed: failed,
@@ -97,17 +100,43 @@
 	cycle := func(size int) time.Duration { return beatEvery * time.Duration(max(1, (size-1+fanout-1)/fanout)) }
 	n.table = view.New(n.info, cfg.names(), view.Limits{Sign: cycle, SuspectAfter: 3, Gap: gap}, n.now())
 	n.publish()
+	if self.Work != nil && len(cfg.Voters) > 0 {
+		n.duties = newDuties(n, self.Work)
+	}
+	if inUse(cfg.Listen) {
+		slog.Warn("fleet_waits", "listen", cfg.Listen)
+	} else if err := n.open(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go n.run(ctx)
+	return n, nil
+}
+
+// inUse tells whether another process has an address: the one that this one is to replace, most likely.
+func inUse(addr string) bool {
+	l, err := net.Listen("tcp", addr)
+	if err == nil {
+		l.Close()
+	}
+	return errors.Is(err, syscall.EADDRINUSE)
+}
+
+// open listens for the others; from then on the node is up.
+func (n *Node) open() error {
+	cfg := n.cfg
 	logger := log.New(&logLines{n}, "", 0)
 	t, err := newTransport(cfg.Listen, logger)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	at, err := netip.ParseAddrPort(cfg.address(self.Name))
+	at, err := netip.ParseAddrPort(cfg.address(n.self.Name))
 	if err != nil {
-		return nil, fmt.Errorf("fleet: %w", err)
+		return fmt.Errorf("fleet: %w", err)
 	}
 	m := memberlist.DefaultLANConfig()
-	m.Name, m.Label, m.SecretKey = self.Name, cfg.Fleet, cfg.key
+	m.Name, m.Label, m.SecretKey = n.self.Name, cfg.Fleet, cfg.key
 	m.Transport = t
 	m.AdvertiseAddr, m.AdvertisePort = at.Addr().String(), int(at.Port())
 	m.ProbeInterval, m.ProbeTimeout = cfg.probe, cfg.probe*3/5
@@ -117,20 +146,35 @@
 	m.EnableCompression = false // what is said is small
 	m.Delegate, m.Events, m.Conflict, m.Merge = n, n, n, n
 	m.Logger = logger
-	if self.Work != nil && len(cfg.Voters) > 0 {
-		n.duties = newDuties(n, self.Work)
-	}
 	// A name that was given up may come back at once, from wherever the list says that it is.
 	m.DeadNodeReclaimTime = time.Millisecond
 	if n.list, err = memberlist.Create(m); err != nil {
 		t.Shutdown()
-		return nil, fmt.Errorf("fleet: %w", err)
+		return fmt.Errorf("fleet: %w", err)
 	}
 	n.up.Store(true)
-	ctx, stop := context.WithCancel(context.Background())
-	n.stop = stop
-	go n.run(ctx)
-	return n, nil
+	return nil
+}
+
+// reopenEvery is how often a process that waits for its peer address looks whether it is free.
+const reopenEvery = 300 * time.Millisecond
+
+// waitOpen returns once the node is up, or false at the context's end.
+func (n *Node) waitOpen(ctx context.Context) bool {
+	for !n.up.Load() {
+		select {
+		case <-time.After(reopenEvery):
+		case <-ctx.Done():
+			return false
+		}
+		if inUse(n.cfg.Listen) {
+			continue
+		}
+		if err := n.open(); err != nil {
+			slog.Warn("fleet_waits", "err", err)
+		}
+	}
+	return true
 }
 
 func (n *Node) now() time.Duration { return time.Since(n.start) }
@@ -174,6 +218,9 @@
 // run looks after the table, tells of itself and calls upon the missing, until the context ends.
 func (n *Node) run(ctx context.Context) {
 	defer close(n.done)
+	if !n.waitOpen(ctx) {
+		return
+	}
 	others := n.others()
 	n.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, to := range others[:min(firstCalls, len(others))] {
@@ -302,9 +349,12 @@
 
 // Leave tells the others that this process goes. It waits a short time for them to hear it.
 func (n *Node) Leave() {
-	if n.left.Swap(true) {
+	if n.left.Swap(true) || !n.up.Load() {
 		return
 	}
+	if n.duties != nil {
+		n.duties.end()
+	}
 	there := n.there()
 	n.mu.Lock()
 	n.info.Leaving, n.info.Serving = true, false
@@ -326,10 +376,13 @@
 	}
 }
 
-// Close ends the node's goroutines and connections.
+// Close ends the node's goroutines and connections, and gives up its address. It may be called again.
 func (n *Node) Close() {
 	n.stop()
 	<-n.done
+	if !n.up.Swap(false) {
+		return
+	}
 	if err := n.list.Shutdown(); err != nil {
 		slog.Warn("fleet_close", "err", err)
 	}
--- a/internal/rig/fault/relay.go
+++ b/internal/rig/fault/relay.go
@@ -21,6 +21,8 @@
 	tcp  net.Listener
 	done chan struct{}
 	wg   sync.WaitGroup
+	mu   sync.Mutex
+	last [][]byte     // the datagrams that came last, for Replay
 	all  atomic.Int64 // bytes handed on by UDP and TCP, to the receiver and in answer from it
 }
 
@@ -78,6 +80,7 @@
 			continue
 		}
 		r.all.Add(int64(n))
+		r.keep(buf[:n])
 		if late <= 0 {
 			r.udp.WriteTo(buf[:n], to)
 			continue
@@ -87,6 +90,32 @@
 	}
 }
 
+// keepMost is how many datagrams a relay remembers.
+const keepMost = 2000
+
+func (r *Relay) keep(b []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = append(r.last, append([]byte(nil), b...))
+	r.last = r.last[max(0, len(r.last)-keepMost):]
+}
+
+// Replay sends the receiver all that the relay remembers once more, sealed and signed as it was, and says how many.
+func (r *Relay) Replay() (int, error) {
+	to, err := net.ResolveUDPAddr("udp4", r.to)
+	if err != nil {
+		return 0, fmt.Errorf("relay: %w", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.last {
+		if _, err := r.udp.WriteTo(b, to); err != nil {
+			return 0, fmt.Errorf("relay: %w", err)
+		}
+	}
+	return len(r.last), nil
+}
+
 func (r *Relay) streams() {
 	for {
 		c, err := r.tcp.Accept()
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -178,6 +178,38 @@
 	}
 }
 
+// Packets of a life that has ended, sealed with the right key and sent once more, change nothing.
+func TestPacketsReplayed(t *testing.T) {
+	t.Parallel()
+	r := startFleet(t, 3)
+	time.Sleep(time.Second) // of beats, probes, claims and results
+	r.procs[1].kill()
+	r.sees(t, 0, "unreachable", 1)
+	r.procs[1].restart(context.Background(), 0, true)
+	for d := range 3 {
+		r.sees(t, d, "alive", 0, 1, 2)
+	}
+	testkit.Eventually(t, "the second life", func() bool { return r.member(t, 0, 1).Lives == 2 && r.member(t, 2, 1).Lives == 2 })
+	var before []fleet.MemberStatus
+	for _, at := range []int{0, 2} {
+		before = append(before, r.member(t, at, 1))
+	}
+	for _, relay := range r.peers.relays {
+		if n, err := relay.Replay(); err != nil || n < 10 {
+			t.Fatalf("%d packets, %v", n, err)
+		}
+	}
+	time.Sleep(2 * time.Second) // longer than a member is suspected for before it is given up
+	for i, at := range []int{0, 2} {
+		if m := r.member(t, at, 1); m.State != "alive" || m.Lives != 2 || m.Incarnation != before[i].Incarnation {
+			t.Errorf("at %d: %+v, before the replay %+v", at, m, before[i])
+		}
+		if s, err := r.Members(at); err != nil || s.Stale == 0 {
+			t.Errorf("at %d: %d words of earlier lives counted, %v", at, s.Stale, err)
+		}
+	}
+}
+
 // A member whose descriptor table is full, and whose peer port gets garbage, stays a member.
 func TestMemberInTrouble(t *testing.T) {
 	t.Parallel()
