--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -3,15 +3,15 @@
 package fleet
 
 import (
-	"bytes"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"slices"
 	"time"
+
+	"rampspread/internal/cli"
 )
 
 // Config is an operator's file, deploy/fleet.json.
@@ -68,14 +68,9 @@
 // Parse reads a file strictly: unknown keys and whatever cannot work are refused.
 func Parse(text []byte, name string) (*Config, error) {
 	var c Config
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil {
+	if err := cli.Strict(text, &c); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	if d.More() {
-		return nil, errors.New("fleet: more than one object")
-	}
 	key, err := hex.DecodeString(c.Key)
 	if err != nil {
 		return nil, errors.New("fleet: key is not in hex")
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"os"
-	"path/filepath"
 
 	"rampspread/internal/rig/history"
 )
@@ -59,16 +58,8 @@
 	for _, c := range classes {
 		models[c.name] = c.name
 	}
-	text, err := json.Marshal(map[string]any{"listen": r.addrs.at(1, d+1, chatPort), "models": models, "max_tokens": 100,
-		"filings": map[string]any{"entries": 1000, "keep_s": 3600}})
-	if err != nil {
-		return "", fmt.Errorf("chat file: %w", err)
-	}
-	path := filepath.Join(r.dir, fmt.Sprintf("n%d.chat.json", d))
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return "", fmt.Errorf("chat file: %w", err)
-	}
-	return path, nil
+	return r.write(fmt.Sprintf("n%d.chat.json", d), map[string]any{"listen": r.addrs.at(1, d+1, chatPort), "models": models,
+		"max_tokens": 100, "filings": map[string]any{"entries": 1000, "keep_s": 3600}})
 }
 
 // stranger is what replicas make of a request that no client of the rig sent, where anyone may ask.
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -7,8 +7,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -38,15 +36,7 @@
 	if !r.options.NoDuties { // the first ones vote
 		f.Voters = r.names[:min(3, (len(r.names)-1)|1)]
 	}
-	text, err := json.Marshal(f)
-	if err != nil {
-		return "", fmt.Errorf("fleet file: %w", err)
-	}
-	path := filepath.Join(r.dir, fmt.Sprintf("n%d.fleet.json", d))
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return "", fmt.Errorf("fleet file: %w", err)
-	}
-	return path, nil
+	return r.write(fmt.Sprintf("n%d.fleet.json", d), f)
 }
 
 // relayPeers stands a relay before each dispatcher.
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -266,21 +266,31 @@
 	}
 }
 
+// write writes one of the run's files as JSON and returns its path.
+func (r *Run) write(name string, value any) (string, error) {
+	text, err := json.MarshalIndent(value, "", " ")
+	if err != nil {
+		return "", fmt.Errorf("%s: %w", name, err)
+	}
+	path := filepath.Join(r.dir, name)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return "", fmt.Errorf("%s: %w", name, err)
+	}
+	return path, nil
+}
+
 // configure writes the files of a dispatcher.
 func (p *proc) configure() error {
 	r := p.run
-	text, err := json.MarshalIndent(map[string]any{
+	var err error
+	p.config, err = r.write(fmt.Sprintf("n%d.json", p.index), map[string]any{
 		"name": r.names[p.index], "listen": r.addrs.listen(p.index), "discovery": r.addrs.discovery(p.index), "ops": r.addrs.ops(p.index),
 		"seed":   fmt.Sprintf("%016x", r.options.Seed*1000+uint64(p.index)+1),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"known":  r.discovery.known(p.index), "settings": r.settings(p.index),
-	}, "", " ")
+	})
 	if err != nil {
-		return fmt.Errorf("config: %w", err)
-	}
-	p.config = filepath.Join(r.dir, fmt.Sprintf("n%d.json", p.index))
-	if err := os.WriteFile(p.config, text, 0o600); err != nil {
-		return fmt.Errorf("config: %w", err)
+		return err
 	}
 	p.args = append([]string{"serve"}, r.options.Args...)
 	if r.options.Fleet {
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -3,9 +3,7 @@
 package rig
 
 import (
-	"bytes"
 	"embed"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -14,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"rampspread/internal/cli"
 )
 
 //go:embed scenarios/*.json
@@ -84,14 +84,9 @@
 // ParseScenario reads a scenario strictly: unknown words and what cannot be are refused.
 func ParseScenario(text []byte) (*Scenario, error) {
 	var s Scenario
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
+	if err := cli.Strict(text, &s); err != nil {
 		return nil, fmt.Errorf("scenario: %w", err)
 	}
-	if d.More() {
-		return nil, errors.New("scenario: more than one object")
-	}
 	switch {
 	case s.Name == "" || strings.ContainsAny(s.Name, "/\\ \n"):
 		return nil, fmt.Errorf("scenario: name %q is no file's name", s.Name)
