Cut and heal a zone's links at once in the rig, however many there are

Cause: with 60 dispatchers the replicas' records showed the cut beginning 5 s late and ending 7 s late, link by link: to hold an address with a full socket takes some 20 ms, and a zone's 480 links were cut one after the other.

--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -393,18 +393,19 @@
 		} else if f.Way == "to" || f.Way == "from" {
 			to = fault.Condition{}
 		}
-		for _, l := range links {
-			if f.Do == "reset" {
-				l.Reset()
-				continue
-			}
-			l.Set(to, from)
-		}
-		again(func() {
+		all := func(do func(l *fault.Link)) {
+			var wg sync.WaitGroup
 			for _, l := range links {
-				l.Set(fault.Condition{}, fault.Condition{})
+				wg.Go(func() { do(l) })
 			}
-		})
+			wg.Wait()
+		}
+		if f.Do == "reset" {
+			all((*fault.Link).Reset)
+			return
+		}
+		all(func(l *fault.Link) { l.Set(to, from) })
+		again(func() { all(func(l *fault.Link) { l.Set(fault.Condition{}, fault.Condition{}) }) })
 	case "replica-kill":
 		p := r.cluster.replicas[t]
 		p.kill()
@@ -441,13 +442,16 @@
 // heals them.
 func (r *Run) cutZone(zone int, cut bool) {
 	c := fault.Condition{Cut: cut}
+	// All at once: to take an address out of service takes some 20 ms, and there are hundreds.
+	var wg sync.WaitGroup
 	for d, row := range r.links.replicas {
 		for i, l := range row {
 			if (d%r.scenario.Zones == zone) != (r.cluster.replicas[i].zone == zone) {
-				l.Set(c, c)
+				wg.Go(func() { l.Set(c, c) })
 			}
 		}
 	}
+	defer wg.Wait()
 	if r.peers != nil {
 		r.peers.split(func(d int) int {
 			if d%r.scenario.Zones == zone {
