--- a/decide/decide.go
+++ b/decide/decide.go
@@ -568,7 +568,7 @@
 		s.health[0].move(r.now, 1, hardWeight)
 	} else {
 		s.heard = r.now
-		s.takeLoad(e.Load, r.now, r.now)
+		s.takeLoad(e.Load, r.now)
 	}
 	askers := s.askers
 	s.askers = nil
--- a/decide/state.go
+++ b/decide/state.go
@@ -144,18 +144,18 @@
 	return out
 }
 
-// takeLoad takes what a server told of its load at a time; it serves as if told at the time fresh.
-func (s *server) takeLoad(l *Load, told, fresh time.Duration) {
-	s.load, s.loadAt = l.Queue+busySlots*max(l.Busy, 0), fresh
+// takeLoad takes what a server told of its load at a time.
+func (s *server) takeLoad(l *Load, told time.Duration) {
+	s.load, s.loadAt = l.Queue+busySlots*max(l.Busy, 0), told
 	if s.memory = l.Memory; s.role != Reader && l.Queue >= 1 {
 		s.fullTill = max(s.fullTill, told+fullFor)
 	}
 }
 
 const (
-	// heardFor is how long a load that another router heard serves. The next one comes before that, so it fades
-	// more slowly than one that this router asked for.
-	heardFor = 900 * ms
+	// heardFor is how long a load that another router heard serves: no longer than one that this router asked for. An
+	// older one sends all routers to where the queue was short.
+	heardFor = loadFresh
 	// heardWeight is what another's word that a server is silent weighs, against one's own experience.
 	heardWeight = hardWeight / 2
 )
@@ -173,8 +173,8 @@
 			s.health[0].move(r.now, 1, heardWeight*float64(heardFor-e.Age)/float64(heardFor))
 		}
 	case r.evidence() < thin:
-		if fresh := r.now - e.Age*time.Duration(loadFresh)/heardFor; fresh > s.loadAt {
-			s.takeLoad(e.Load, at, fresh)
+		if at > s.loadAt {
+			s.takeLoad(e.Load, at)
 		}
 	}
 }
