Let a lease spread to voters that had granted a higher number to nobody who held it

The third voter had granted a higher number to a claimer without a majority, and so refused the holders' renewals for good: the lease rested on two voters. Ruled out: the standby (it was refused too), the view (it noticed after 1.5 s).

Change: a claim says that it renews a lease that is held; a voter whose grant to another has ended then joins in, and still grants no number that is not higher than all before to a new lease. No other can have held the duty since under the higher number, or the claimer would not hold it.

--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -34,10 +34,13 @@
 	Incarnation uint64
 }
 
-// Claim asks for a duty, or for more time with it. Standby: only if nobody's grant is running.
+// Claim asks for a duty, or for more time with it. Renew: the claimer holds it by most voters' grants as it sends this. So
+// no other has held it since under a higher number, and a voter that had granted one to a claimer without a majority
+// may join in: else the lease would rest on the voters of its first hour, and fall with one of them.
 type Claim struct {
 	Duty   Duty
 	Number uint64
+	Renew  bool
 }
 
 // Request is what a claimer sends to each voter.
@@ -75,9 +78,10 @@
 }
 
 type grant struct {
-	to     Claimer
-	number uint64
-	until  time.Duration
+	to      Claimer
+	number  uint64
+	highest uint64 // number of all that were granted
+	until   time.Duration
 }
 
 // NewVoter returns a voter that remembers nothing, and so waits until what an earlier life of it may have granted
@@ -107,15 +111,15 @@
 	for _, c := range q.Claims {
 		g := v.grants[c.Duty]
 		if g == nil {
-			g = &grant{number: v.floor}
+			g = &grant{highest: v.floor}
 			v.grants[c.Duty] = g
 		}
 		same := g.to == q.From && g.number == c.Number
-		if !same && (now < g.until || c.Number <= g.number) {
-			out.Grants = append(out.Grants, Grant{Duty: c.Duty, Asked: c.Number, Number: g.number, Left: max(g.until-now, 0)})
+		if !same && (now < g.until || c.Number <= g.highest && !c.Renew) {
+			out.Grants = append(out.Grants, Grant{Duty: c.Duty, Asked: c.Number, Number: g.highest, Left: max(g.until-now, 0)})
 			continue
 		}
-		g.to, g.number, g.until = q.From, c.Number, now+v.limits.Term
+		g.to, g.number, g.highest, g.until = q.From, c.Number, max(g.highest, c.Number), now+v.limits.Term
 		out.Grants = append(out.Grants, Grant{Duty: c.Duty, Asked: c.Number, Number: c.Number, Yes: true})
 	}
 	return out
@@ -126,7 +130,7 @@
 	maps.DeleteFunc(v.grants, func(_ Duty, g *grant) bool {
 		old := now-g.until > age
 		if old {
-			v.floor = max(v.floor, g.number)
+			v.floor = max(v.floor, g.highest)
 		}
 		return old
 	})
@@ -191,7 +195,7 @@
 	for d, c := range h.duties {
 		if !duties[d] {
 			if len(c.grants) > 0 {
-				h.drop = append(h.drop, Claim{d, c.number})
+				h.drop = append(h.drop, Claim{Duty: d, Number: c.number})
 			}
 			if c.acting {
 				h.lapsed = &Lapse{d, c.number, now, "given to another"}
@@ -220,9 +224,10 @@
 		if now < c.next {
 			continue
 		}
-		if !h.holds(now, c) {
+		holds := h.holds(now, c)
+		if !holds {
 			if c.number > 0 && len(c.grants) > 0 {
-				q.Releases = append(q.Releases, Claim{d, c.number}) // what a minority granted keeps others out
+				q.Releases = append(q.Releases, Claim{Duty: d, Number: c.number}) // what a minority granted keeps others out
 			}
 			clear(c.grants)
 			clear(c.noes)
@@ -230,7 +235,7 @@
 			c.number = h.seen
 		}
 		c.next = now + h.limits.Renew
-		q.Claims = append(q.Claims, Claim{d, c.number})
+		q.Claims = append(q.Claims, Claim{d, c.number, holds})
 	}
 	if len(q.Claims) == 0 && len(q.Releases) == 0 {
 		return q, false
@@ -253,7 +258,7 @@
 		c := h.duties[g.Duty]
 		if c == nil || g.Asked != c.number { // given up, or of an earlier try: its claim came late
 			if g.Yes {
-				h.drop = append(h.drop, Claim{g.Duty, g.Asked})
+				h.drop = append(h.drop, Claim{Duty: g.Duty, Number: g.Asked})
 			}
 			continue
 		}
@@ -283,7 +288,7 @@
 	}
 	wait, span := min(g.Left, h.limits.Renew), int64(h.limits.Renew)/2
 	if len(c.grants) > 0 {
-		h.drop = append(h.drop, Claim{g.Duty, c.number})
+		h.drop = append(h.drop, Claim{Duty: g.Duty, Number: c.number})
 		clear(c.grants)
 		wait, span = 0, span<<min(c.tries, mostBackoff)
 		c.tries++
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -139,7 +139,7 @@
 	fieldSeq      = 1
 	fieldFrom     = 2 // or the voter's name
 	fieldLife     = 3
-	fieldClaims   = 4 // duty, number, …
+	fieldClaims   = 4 // duty, twice the number and one for a renewal, …
 	fieldReleases = 5
 	fieldGrants   = 6 // duty, asked, number, yes (1) or no (0), µs left, …
 	fieldResult   = 7 // duty, number, age in µs, data
@@ -180,7 +180,11 @@
 func encodeRequest(q lease.Request) (out [][]byte) {
 	numbers := func(claims []lease.Claim) (n []uint64) {
 		for _, c := range claims {
-			n = append(n, uint64(c.Duty), c.Number)
+			renew := uint64(0)
+			if c.Renew {
+				renew = 1
+			}
+			n = append(n, uint64(c.Duty), c.Number<<1|renew)
 		}
 		return n
 	}
@@ -277,7 +281,7 @@
 				return m, errFormat
 			}
 			for c := range slices.Chunk(numbers, 2) {
-				if claim := (lease.Claim{Duty: lease.Duty(c[0]), Number: c[1]}); field == fieldClaims {
+				if claim := (lease.Claim{Duty: lease.Duty(c[0]), Number: c[1] >> 1, Renew: c[1]&1 == 1}); field == fieldClaims {
 					m.claims = append(m.claims, claim)
 				} else {
 					m.releases = append(m.releases, claim)
