Give the tests' loopback addresses one place

Four tests drew a part of the loopback range from the process's id, each by a formula of its own, and one of them could meet the rig's. testkit.Net has it now, above the parts that the rig takes.

--- a/cmd/rampspread/main_test.go
+++ b/cmd/rampspread/main_test.go
@@ -38,12 +38,10 @@
 	return o.buf.String()
 }
 
-// freeAddr is an address that nobody listens on. It is on a loopback address of this process's own: on 127.0.0.1 the tests of other packages, which run
-// beside these, could take the port before the program does.
+// freeAddr is an address that nobody listens on.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
+	l, err := net.Listen("tcp", testkit.Net()+"1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/example/readme_test.go
+++ b/example/readme_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"rampspread/internal/testkit"
 )
 
 // commands are the indented commands of a page, each with the lines that go on with it.
@@ -48,15 +50,13 @@
 // place is a folder with what the pages' commands need, on a loopback network of this test's own in the place of
 // 127.0.0.
 type place struct {
-	dir, net string
-	replace  *strings.Replacer
+	dir     string
+	replace *strings.Replacer
 }
 
 func newPlace(t *testing.T) place {
 	t.Helper()
-	pid := os.Getpid()
-	p := place{dir: t.TempDir(), net: fmt.Sprintf("127.%d.%d.", 128+pid>>15&63, pid>>7&255)}
-	p.replace = strings.NewReplacer("127.0.0.", p.net)
+	p := place{dir: t.TempDir(), replace: strings.NewReplacer("127.0.0.", testkit.Net())}
 	for _, name := range []string{"example/config.json", "example/scenario.json", "example/workers.properties", "deploy/chat.json", "deploy/fleet.json"} {
 		text, err := os.ReadFile(filepath.Join("..", name))
 		if err != nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,10 +16,7 @@
 const key = "000102030405060708090a0b0c0d0e0f"
 
 // addr is an address of this test's own: peers send from the address that they listen at.
-func addr(host int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:7946", 224+pid>>15&15, pid>>7&255, 1+host)
-}
+func addr(host int) string { return fmt.Sprintf("%s%d:7946", testkit.Net(), 1+host) }
 
 func file(fleetName, keyText string, hosts ...int) string {
 	var members []string
--- a/internal/rig/fault/fault_test.go
+++ b/internal/rig/fault/fault_test.go
@@ -6,17 +6,14 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"testing"
 	"time"
 
 	"rampspread/internal/rig/fault"
+	"rampspread/internal/testkit"
 )
 
-func own(t *testing.T, host, port int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 192+pid>>15&31, pid>>7&255, 1+host, port)
-}
+func own(host, port int) string { return fmt.Sprintf("%s%d:%d", testkit.Net(), 1+host, port) }
 
 // echo answers each line on a link until the test ends.
 func echo(t *testing.T, addr string, l *fault.Link) *fault.Listener {
@@ -54,7 +51,7 @@
 
 // A cut holds back what is under way and lets no connection come up; its end lets both go on.
 func TestCutAndHeal(t *testing.T) {
-	addr, l := own(t, 0, 4001), fault.NewLink(1)
+	addr, l := own(0, 4001), fault.NewLink(1)
 	echo(t, addr, l)
 	c, err := net.Dial("tcp", addr)
 	if err != nil || ask(c, 5*time.Second) != nil {
@@ -87,7 +84,7 @@
 }
 
 func TestDelayDownAndReset(t *testing.T) {
-	addr, l := own(t, 1, 4002), fault.NewLink(1)
+	addr, l := own(1, 4002), fault.NewLink(1)
 	s := echo(t, addr, l)
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -124,8 +121,8 @@
 // A relay tells senders apart by their source: one's cut does not stop another, nor the other direction.
 func TestRelay(t *testing.T) {
 	good, bad := fault.NewLink(1), fault.NewLink(2)
-	at, to := own(t, 2, 4003), own(t, 3, 4003)
-	sender := func(host int) net.IP { ip, _, _ := net.SplitHostPort(own(t, host, 1)); return net.ParseIP(ip) }
+	at, to := own(2, 4003), own(3, 4003)
+	sender := func(host int) net.IP { ip, _, _ := net.SplitHostPort(own(host, 1)); return net.ParseIP(ip) }
 	r, err := fault.NewRelay(at, to, func(from net.IP) *fault.Link {
 		switch {
 		case from.Equal(sender(4)):
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -243,6 +244,13 @@
 	return f
 }
 
+// Net is a part of the loopback range of this process's own, such as "127.240.7.", to which a host's number is added: on
+// 127.0.0.1 the tests of other packages, which run beside these, could take a port first. The rig has the parts below.
+func Net() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.", 240+pid>>8%15, pid&255)
+}
+
 // Eventually waits for what must come; the wait is long, so only what never comes fails.
 func Eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
