Clear the fleet and the rig of what stood twice, was done again or was of no use

Found on reading the whole change: the operators' line protocol had two clients (the command line's and the rig's), now ops.Ask beside its server; a request was encoded once for each voter; each tick of the duties counted the view's members three times; the set of known duties, the names in the fleet's file and the end of a fault were each kept or written more than once; a counter of beats, three parameters, an option and a test for a deadline that isTimeout covers had no use. The rig's log lines are key=value as elsewhere.

Left as it is: the rig's own type for a list entry beside discovery's, since a stand-in that shares the type could not show that the program reads it wrongly.

--- a/cmd/rampspread/commands.go
+++ b/cmd/rampspread/commands.go
@@ -11,6 +11,7 @@
 	"rampspread/internal/chat"
 	"rampspread/internal/cli"
 	"rampspread/internal/fleet"
+	"rampspread/internal/ops"
 	"rampspread/internal/wire"
 )
 
@@ -112,7 +113,7 @@
 	var at string
 	c := &cobra.Command{Use: "call CALL", Short: "Make an operator's call, such as check, drain-on or drain-off",
 		Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
-			text, err := opsCall(at, args[0])
+			text, err := ops.Ask(at, args[0], callWait)
 			if err != nil {
 				return err
 			}
--- a/cmd/rampspread/fleet.go
+++ b/cmd/rampspread/fleet.go
@@ -1,13 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -18,6 +15,7 @@
 	"rampspread/internal/cli"
 	"rampspread/internal/fleet"
 	"rampspread/internal/fleet/work"
+	"rampspread/internal/ops"
 	"rampspread/internal/wire"
 )
 
@@ -121,29 +119,6 @@
 		len(s.Conflicts), s.Bad, s.Stale)
 }
 
-// opsCall makes one operator's call (docs/ONCALL.md) and returns what follows SUCCESS.
-func opsCall(at, call string) (string, error) {
-	conn, err := net.DialTimeout("tcp", at, callWait)
-	if err != nil {
-		return "", fmt.Errorf("call: %w", err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(callWait))
-	if _, err := fmt.Fprintln(conn, call); err != nil {
-		return "", fmt.Errorf("call: %w", err)
-	}
-	answer, err := bufio.NewReader(conn).ReadString('\n')
-	if err != nil {
-		return "", fmt.Errorf("call: %w", err)
-	}
-	answer = strings.TrimSpace(answer)
-	text, ok := strings.CutPrefix(answer, "SUCCESS")
-	if !ok {
-		return "", errors.New(answer)
-	}
-	return strings.TrimSpace(text), nil
-}
-
 // fleetCommand holds what is asked of a fleet by way of one of its members.
 func fleetCommand(out io.Writer) *cobra.Command {
 	c := &cobra.Command{Use: "fleet", Short: "Ask a member about the fleet"}
@@ -157,7 +132,7 @@
 	var at string
 	var asJSON bool
 	c := &cobra.Command{Use: call, Short: short, Args: cli.NoWords, RunE: func(*cobra.Command, []string) error {
-		text, err := opsCall(at, call)
+		text, err := ops.Ask(at, call, callWait)
 		if err != nil {
 			return err
 		}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -96,17 +96,16 @@
 	if c.probe == 0 {
 		c.probe = defaultProbe
 	}
-	names, addrs := map[string]bool{}, map[string]bool{}
+	addrs := map[string]bool{}
 	c.addrs = map[string]string{}
 	for i, m := range c.Members {
 		if m.Name == "" || len(m.Name) > maxName {
 			return nil, fmt.Errorf("fleet: member %d: its name has %d bytes, not from 1 to %d", i, len(m.Name), maxName)
 		}
-		if names[m.Name] || addrs[m.Address] {
+		if c.addrs[m.Name] != "" || addrs[m.Address] {
 			return nil, fmt.Errorf("fleet: member %q: its name or address %s stands twice", m.Name, m.Address)
 		}
-		names[m.Name], addrs[m.Address] = true, true
-		c.addrs[m.Name] = m.Address
+		c.addrs[m.Name], addrs[m.Address] = m.Address, true
 		if err := private(m.Address); err != nil {
 			return nil, fmt.Errorf("fleet: member %q: %w", m.Name, err)
 		}
@@ -114,11 +113,11 @@
 			c.Listen = m.Address
 		}
 	}
-	if !names[name] {
+	if c.addrs[name] == "" {
 		return nil, fmt.Errorf("fleet: this process's name %q is not on the list of members", name)
 	}
 	for i, v := range c.Voters {
-		if !names[v] || slices.Contains(c.Voters[:i], v) {
+		if c.addrs[v] == "" || slices.Contains(c.Voters[:i], v) {
 			return nil, fmt.Errorf("fleet: voter %q is no member, or stands twice", v)
 		}
 	}
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -17,6 +17,7 @@
 const (
 	defaultTerm = 1200 * time.Millisecond
 	dutyTick    = 50 * time.Millisecond
+	flushEvery  = 2 * dutyTick // at the least
 	// One that stands by claims a duty that it has heard nothing of for a term and this.
 	standbyGrace = 100 * time.Millisecond
 	// And gives it back to the owner after so many terms, where that one counts again.
@@ -77,7 +78,6 @@
 	node   *Node
 	work   Work
 	limits lease.Limits
-	every  time.Duration // between flushes, at the least
 	acts   atomic.Int64
 	late   atomic.Int64
 	bytes  atomic.Int64
@@ -113,7 +113,7 @@
 	c := n.cfg
 	limits := lease.Limits{Term: c.term, Margin: c.term / 10, Renew: c.term / 6}
 	rng := rand.New(rand.NewPCG(n.self.Seed, 0x1ea5e))
-	d := &duties{node: n, work: work, limits: limits, every: 2 * dutyTick, next: map[lease.Duty]time.Duration{}, heard: map[lease.Duty]time.Duration{},
+	d := &duties{node: n, work: work, limits: limits, next: map[lease.Duty]time.Duration{}, heard: map[lease.Duty]time.Duration{},
 		standing: map[lease.Duty]time.Duration{}, out: map[lease.Duty]result{}, names: map[lease.Duty]string{}, budget: resultBytes}
 	d.holder = lease.NewHolder(lease.Claimer{Name: n.self.Name, Incarnation: uint64(n.start.UnixNano())}, c.Voters, limits, rng.Int64N)
 	if slices.Contains(c.Voters, n.self.Name) {
@@ -136,7 +136,7 @@
 			d.voter.Forget(now, forgetAfter)
 		}
 	}
-	d.holder.Want(now, d.wants(now, v))
+	d.holder.Want(now, d.wants(now))
 	q, claims := d.holder.Step(now)
 	if l := d.holder.Lapsed(); l != nil && l != d.lapsedSeen {
 		d.lapsedSeen = l
@@ -149,7 +149,7 @@
 			d.next[h.Duty] = now + d.work.Every(d.names[h.Duty])
 		}
 	}
-	packets := d.flush(now, v)
+	packets := d.flush(now)
 	d.mu.Unlock()
 	if claims {
 		d.ask(q)
@@ -183,27 +183,29 @@
 	}
 	d.list, d.members = names, members
 	d.names = map[lease.Duty]string{}
-	known := map[lease.Duty]bool{}
 	for _, name := range names {
 		duty := lease.Of(name)
 		d.names[duty] = name
-		known[duty] = true
 		if _, ok := d.heard[duty]; !ok {
 			d.heard[duty] = now
 		}
 	}
-	forget := func(duty lease.Duty) bool { return !known[duty] }
-	maps.DeleteFunc(d.heard, func(k lease.Duty, _ time.Duration) bool { return forget(k) })
-	maps.DeleteFunc(d.next, func(k lease.Duty, _ time.Duration) bool { return forget(k) })
-	maps.DeleteFunc(d.standing, func(k lease.Duty, _ time.Duration) bool { return forget(k) })
-	maps.DeleteFunc(d.out, func(k lease.Duty, _ result) bool { return forget(k) })
-	d.fence.Keep(known)
+	forget(d.heard, d.names)
+	forget(d.next, d.names)
+	forget(d.standing, d.names)
+	forget(d.out, d.names)
+	d.fence.Keep(func(duty lease.Duty) bool { return d.names[duty] != "" })
 	d.assigned = lease.Assign(slices.Collect(maps.Keys(d.names)), members)
 }
 
+// forget drops what is kept of duties that are no more.
+func forget[V any](kept map[lease.Duty]V, names map[lease.Duty]string) {
+	maps.DeleteFunc(kept, func(d lease.Duty, _ V) bool { return names[d] == "" })
+}
+
 // wants are the duties that are this member's, and those that it stands by for and that seem to have lapsed; the caller
 // holds the lock.
-func (d *duties) wants(now time.Duration, v view.View) map[lease.Duty]bool {
+func (d *duties) wants(now time.Duration) map[lease.Duty]bool {
 	out := map[lease.Duty]bool{}
 	if d.ended {
 		return out
@@ -235,19 +237,20 @@
 
 // ask sends a request to all voters.
 func (d *duties) ask(q lease.Request) {
+	packets := encodeRequest(q)
 	for _, voter := range d.node.cfg.Voters {
 		if voter == d.node.self.Name {
-			d.answer(q, voter)
+			d.answer(q)
 			continue
 		}
-		for _, p := range encodeRequest(q) {
+		for _, p := range packets {
 			d.node.send(voter, p)
 		}
 	}
 }
 
 // answer answers a request as a voter.
-func (d *duties) answer(q lease.Request, from string) {
+func (d *duties) answer(q lease.Request) {
 	d.mu.Lock()
 	if d.voter == nil {
 		d.mu.Unlock()
@@ -317,10 +320,9 @@
 }
 
 // flush makes packets of the results that wait, within the budget of bytes; the caller holds the lock.
-func (d *duties) flush(now time.Duration, v view.View) (out []packet) {
-	counting := v.Counting()
+func (d *duties) flush(now time.Duration) (out []packet) {
 	// In a large fleet results wait longer, so that the packets of a second stay bounded.
-	every := max(d.every, time.Duration(len(counting))*2*time.Millisecond)
+	every := max(flushEvery, time.Duration(len(d.members))*2*time.Millisecond)
 	if now-d.flushed < every || len(d.out) == 0 {
 		return nil
 	}
@@ -335,15 +337,15 @@
 		messages = append(messages, m)
 	}
 	for _, m := range messages {
-		cost := float64(len(m) * max(len(counting)-1, 0))
+		cost := float64(len(m) * max(len(d.members)-1, 0))
 		if cost > d.budget {
 			continue // the next results are newer
 		}
 		d.budget -= cost
 		d.bytes.Add(int64(cost))
-		for _, to := range counting {
-			if to.Name != d.node.self.Name {
-				out = append(out, packet{to.Name, m})
+		for _, to := range d.members {
+			if to != d.node.self.Name {
+				out = append(out, packet{to, m})
 			}
 		}
 	}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -356,7 +356,7 @@
 	return n
 }
 
-// Keep forgets all duties but these.
-func (f *Fence) Keep(duties map[Duty]bool) {
-	maps.DeleteFunc(f.seen, func(d Duty, _ uint64) bool { return !duties[d] })
+// Keep forgets all duties but those that are known.
+func (f *Fence) Keep(known func(Duty) bool) {
+	maps.DeleteFunc(f.seen, func(d Duty, _ uint64) bool { return !known(d) })
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -68,7 +68,6 @@
 	list  *memberlist.Memberlist
 	rng   *rand.Rand // only run uses it
 	bad   atomic.Int64
-	beats atomic.Int64
 	view  atomic.Pointer[view.View]
 	left  atomic.Bool
 	up    atomic.Bool // list is there
@@ -290,29 +289,27 @@
 	return told
 }
 
-// sign is a beat's message; the caller holds the lock.
+// sign is a beat's message.
 func (n *Node) sign() []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	return append([]byte{kindBeat}, encode(n.info, time.Now().UnixMilli())...)
 }
 
-// send sends a message to a member by one datagram. Its address is the list's: the nodes that memberlist hands out change
+// send sends a message to a member by one datagram, which may get lost as any other. Its address is the list's: the nodes that memberlist hands out change
 // under the reader.
-func (n *Node) send(name string, msg []byte) bool {
-	addr := n.cfg.address(name)
-	return addr != "" && n.list.SendToAddress(memberlist.Address{Addr: addr, Name: name}, msg) == nil
+func (n *Node) send(name string, msg []byte) {
+	if addr := n.cfg.address(name); addr != "" {
+		n.list.SendToAddress(memberlist.Address{Addr: addr, Name: name}, msg)
+	}
 }
 
 // beat sends a sign of life to the next of the members that are there.
 func (n *Node) beat(at int) int {
-	n.mu.Lock()
-	msg := n.sign()
-	n.mu.Unlock()
-	there := n.there()
+	msg, there := n.sign(), n.there()
 	for range min(fanout, len(there)) {
 		at = (at + 1) % len(there)
-		if n.send(there[at], msg) {
-			n.beats.Add(1)
-		}
+		n.send(there[at], msg)
 	}
 	return at
 }
@@ -363,9 +360,7 @@
 	n.mu.Unlock()
 	// By gossip the news that it is gone may overtake the news that it goes, so it says goodbye to each as well.
 	for range goodbyes {
-		n.mu.Lock()
 		msg := n.sign()
-		n.mu.Unlock()
 		for _, name := range there {
 			n.send(name, msg)
 		}
@@ -420,7 +415,7 @@
 			n.bad.Add(1)
 			return
 		}
-		n.duties.answer(lease.Request{Seq: m.seq, From: lease.Claimer{Name: m.from, Incarnation: m.life}, Claims: m.claims, Releases: m.releases}, m.from)
+		n.duties.answer(lease.Request{Seq: m.seq, From: lease.Claimer{Name: m.from, Incarnation: m.life}, Claims: m.claims, Releases: m.releases})
 	case kindReply:
 		n.duties.mu.Lock()
 		n.duties.holder.Take(n.now(), lease.Reply{Seq: m.seq, Voter: m.from, Grants: m.grants})
--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -223,7 +223,7 @@
 			k.Close()
 			// A close between requests may cross one that the dispatcher has not read: it goes once more on a new
 			// connection, unless the process is known to have ended.
-			if k.used && !fresh && !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) && c.run.procs[d].upSince(asked) {
+			if k.used && !fresh && !isTimeout(err) && c.run.procs[d].upSince(asked) {
 				continue
 			}
 			h.Add(history.Event{Kind: history.Quit, Request: id, Dispatcher: d, Sound: k.Link().Sound(asked.Add(-time.Second)) && c.run.procs[d].upSince(asked)})
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -1,10 +1,8 @@
 package rig
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"strings"
@@ -12,6 +10,7 @@
 	"time"
 
 	"rampspread/internal/fleet"
+	"rampspread/internal/ops"
 	"rampspread/internal/rig/fault"
 	"rampspread/internal/rig/history"
 )
@@ -112,21 +111,10 @@
 // Members is the fleet as a dispatcher shows it to its operators.
 func (r *Run) Members(d int) (fleet.Status, error) {
 	var s fleet.Status
-	conn, err := net.DialTimeout("tcp", r.addrs.ops(d), time.Second)
+	text, err := ops.Ask(r.addrs.ops(d), "members", time.Second)
 	if err != nil {
 		return s, fmt.Errorf("members: %w", err)
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(time.Second))
-	fmt.Fprintln(conn, "members")
-	line, err := bufio.NewReader(conn).ReadString('\n')
-	if err != nil {
-		return s, fmt.Errorf("members: %w", err)
-	}
-	text, ok := strings.CutPrefix(line, "SUCCESS ")
-	if !ok {
-		return s, errors.New(line)
-	}
 	if err := json.Unmarshal([]byte(text), &s); err != nil {
 		return s, fmt.Errorf("members: %w", err)
 	}
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -71,7 +71,7 @@
 		r.sees(t, d, "unreachable", 0)
 	}
 	first := r.member(t, 1, 0)
-	r.procs[0].restart(ctx, 0, false)
+	r.procs[0].restart(ctx, false)
 	for d := range 5 {
 		r.sees(t, d, "alive", 0, 1, 2, 3, 4)
 	}
@@ -84,7 +84,7 @@
 	}
 	for range 5 {
 		r.procs[2].kill()
-		r.procs[2].restart(ctx, 0, false)
+		r.procs[2].restart(ctx, false)
 	}
 	for _, d := range []int{0, 1, 4} {
 		r.sees(t, d, "alive", 0, 1, 2, 4)
@@ -185,7 +185,7 @@
 	time.Sleep(time.Second) // of beats, probes, claims and results
 	r.procs[1].kill()
 	r.sees(t, 0, "unreachable", 1)
-	r.procs[1].restart(context.Background(), 0, true)
+	r.procs[1].restart(context.Background(), true)
 	for d := range 3 {
 		r.sees(t, d, "alive", 0, 1, 2)
 	}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -63,7 +63,7 @@
 		p.mu.Lock()
 		if !p.meant || err != nil && cmd.ProcessState.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
 			p.crashes++
-			p.run.logf("dispatcher=%d crashed err=%v", p.index, err)
+			p.run.options.Log.Warn("crashed", "dispatcher", p.index, "err", err)
 		}
 		if p.down == 0 {
 			p.down = p.run.history.Now()
@@ -147,10 +147,7 @@
 }
 
 // restart starts a life after the last one's end. With forget it finds nothing of what the last one stored.
-func (p *proc) restart(ctx context.Context, after time.Duration, forget bool) {
-	if sleep(ctx, after) != nil {
-		return
-	}
+func (p *proc) restart(ctx context.Context, forget bool) {
 	if forget {
 		os.RemoveAll(p.run.stateDir(p.index))
 	}
@@ -158,7 +155,7 @@
 		p.mu.Lock()
 		p.crashes++
 		p.mu.Unlock()
-		p.run.logf("dispatcher=%d restart err=%v", p.index, err)
+		p.run.options.Log.Warn("restart_failed", "dispatcher", p.index, "err", err)
 	}
 }
 
@@ -292,7 +289,7 @@
 	if err != nil {
 		return err
 	}
-	p.args = append([]string{"serve"}, r.options.Args...)
+	p.args = []string{"serve"}
 	if r.options.Fleet {
 		file, err := r.fleetFile(p.index)
 		if err != nil {
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -23,7 +23,6 @@
 // Options say how a scenario is run.
 type Options struct {
 	Program     string // path of the program's binary
-	Args        []string
 	Dispatchers int
 	Seed        uint64
 	Dir         string // for the processes' files and logs; none: a temporary one, removed at the end unless a rule broke
@@ -95,8 +94,6 @@
 // maxDispatchers is what the addresses have room for.
 const maxDispatchers = 250
 
-func (r *Run) logf(format string, args ...any) { r.options.Log.Info(fmt.Sprintf(format, args...)) }
-
 func (r *Run) stateDir(d int) string { return filepath.Join(r.dir, fmt.Sprintf("n%d.state", d)) }
 
 // Play runs a scenario to its end and tells what came of it. All processes that it started have ended then.
@@ -134,7 +131,7 @@
 	if err == nil && o.Dir == "" && report.Good() {
 		os.RemoveAll(r.dir)
 	} else {
-		r.logf("files=%s", r.dir)
+		o.Log.Info("files", "dir", r.dir)
 	}
 	return report, err
 }
@@ -242,7 +239,7 @@
 	rng := rand.New(rand.NewPCG(r.options.Seed, 0xfa17))
 	for _, f := range r.scenario.Faults {
 		targets := r.targets(f, rng)
-		r.logf("fault=%s at=%v for=%v targets=%v", f.Do, f.At, f.For, targets)
+		r.options.Log.Info("fault", "do", f.Do, "at", f.At, "for", f.For, "targets", targets)
 		faults.Go(func() {
 			r.befall(ctx, f, targets, begin)
 			now := r.history.Now()
@@ -323,31 +320,24 @@
 	if sleep(ctx, time.Until(begin.Add(seconds(f.At)))) != nil {
 		return
 	}
-	lasts := seconds(f.For)
 	switch f.Do {
 	case "discovery-silent":
 		r.discovery.setSilent(true)
-		if f.For > 0 && sleep(ctx, lasts) == nil {
-			r.discovery.setSilent(false)
-		}
+		f.after(ctx, func() { r.discovery.setSilent(false) })
 		return
 	case "discovery-late":
-		r.discovery.setLate(lasts)
+		r.discovery.setLate(seconds(f.For))
 		return
 	case "split":
 		side := func(d int) int { return d % max(f.Sides, 2) }
 		if r.peers != nil {
 			r.peers.split(side, true)
-			if f.For > 0 && sleep(ctx, lasts) == nil {
-				r.peers.split(side, false)
-			}
+			f.after(ctx, func() { r.peers.split(side, false) })
 		}
 		return
 	case "cut-zone":
 		r.cutZone(f.Zone, true)
-		if f.For > 0 && sleep(ctx, lasts) == nil {
-			r.cutZone(f.Zone, false)
-		}
+		f.after(ctx, func() { r.cutZone(f.Zone, false) })
 		return
 	}
 	var wg sync.WaitGroup
@@ -356,27 +346,29 @@
 	for i, t := range targets {
 		wg.Go(func() {
 			if sleep(ctx, time.Duration(i)*every) == nil {
-				r.befallOne(ctx, f, t, lasts)
+				r.befallOne(ctx, f, t)
 			}
 		})
 	}
 }
 
-func (r *Run) befallOne(ctx context.Context, f Fault, t int, lasts time.Duration) {
-	again := func(do func()) {
-		if f.For > 0 && sleep(ctx, lasts) == nil {
-			do()
-		}
+// after ends a fault once it has lasted, if it ends at all.
+func (f Fault) after(ctx context.Context, end func()) {
+	if f.For > 0 && sleep(ctx, seconds(f.For)) == nil {
+		end()
 	}
+}
+
+func (r *Run) befallOne(ctx context.Context, f Fault, t int) {
 	switch f.Do {
 	case "kill":
 		r.procs[t].kill()
-		again(func() { r.procs[t].restart(ctx, 0, f.Forget) })
+		f.after(ctx, func() { r.procs[t].restart(ctx, f.Forget) })
 	case "term":
 		r.procs[t].term()
-		again(func() { r.procs[t].restart(ctx, 0, f.Forget) })
+		f.after(ctx, func() { r.procs[t].restart(ctx, f.Forget) })
 	case "pause":
-		r.procs[t].pause(ctx, lasts)
+		r.procs[t].pause(ctx, seconds(f.For))
 	case "links", "reset":
 		links := r.linksOf(f.Links, t)
 		c := fault.Condition{Cut: f.DelayMS == 0 && f.Loss == 0 && f.KBPerS == 0, Delay: seconds(f.DelayMS / 1000),
@@ -384,7 +376,7 @@
 		if f.Links == "peers" {
 			if r.peers != nil && f.Do == "links" {
 				r.peers.around(t, f.Way, c)
-				again(func() { r.peers.around(t, f.Way, fault.Condition{}) })
+				f.after(ctx, func() { r.peers.around(t, f.Way, fault.Condition{}) })
 			}
 			return
 		}
@@ -406,21 +398,21 @@
 			return
 		}
 		all(func(l *fault.Link) { l.Set(to, from) })
-		again(func() { all(func(l *fault.Link) { l.Set(fault.Condition{}, fault.Condition{}) }) })
+		f.after(ctx, func() { all(func(l *fault.Link) { l.Set(fault.Condition{}, fault.Condition{}) }) })
 	case "replica-kill":
 		p := r.cluster.replicas[t]
 		p.kill()
 		r.discovery.set(p, "gone", time.Time{})
-		again(func() {
+		f.after(ctx, func() {
 			p.revive()
 			r.discovery.set(p, "ready", time.Now())
 		})
 	case "replica-slow":
 		r.cluster.replicas[t].setSlow(f.Factor)
-		again(func() { r.cluster.replicas[t].setSlow(1) })
+		f.after(ctx, func() { r.cluster.replicas[t].setSlow(1) })
 	case "replica-drain":
 		r.discovery.set(r.cluster.replicas[t], "draining", time.Time{})
-		again(func() { r.discovery.set(r.cluster.replicas[t], "ready", time.Time{}) })
+		f.after(ctx, func() { r.discovery.set(r.cluster.replicas[t], "ready", time.Time{}) })
 	case "replica-flush":
 		r.cluster.replicas[t].flush()
 	}
