Withdraw attempts that still wait for a connection when their server begins to leave

Need: a send counts from its first byte, and an attempt may be dialling, waiting for a connection or about to be tried on another one when the list says that its server drains or is gone.

Read and confirmed by the test: with the pool's connections to a server in use, an attempt decided before the drain was written after it, whenever a connection came free (servers.go, run; core.go, roster).

Change: the core withdraws such attempts before the module hears of the list. The connection asks before an attempt's first byte, so none is written after that; what has begun goes on. An attempt of which no byte was written now counts as never run even if its body had been handed over.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,6 +74,9 @@
 type Attempt interface {
 	// Abort stops waiting. The attempt's end is reported once its connection is closed.
 	Abort()
+	// Withdraw ends an attempt of which no byte has been written, as one that could not connect; of one that is
+	// being written it stops only what would be written anew. It does not wait.
+	Withdraw()
 }
 
 // Outcome is how an attempt ended.
@@ -287,10 +290,23 @@
 		}
 		ev.Servers = append(ev.Servers, s)
 	}
+	c.withdraw() // before the module hears of the list: what it sends now goes by that
 	c.handle(ev)
 	c.prune()
 }
 
+// withdraw keeps attempts that are waiting for a connection from being sent to servers that are leaving: a send
+// counts from its first byte, and that may come long after the decision.
+func (c *Core) withdraw() {
+	for _, q := range c.requests {
+		for _, a := range q.attempts {
+			if !a.ended && !a.first && a.to.state != decide.Ready {
+				a.call.Withdraw()
+			}
+		}
+	}
+}
+
 // Heard is what another dispatcher found out about a server, Age ago; a nil Load: it told none in time.
 type Heard struct {
 	Name string
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -19,6 +19,7 @@
 	sends    chan sent
 	aborts   chan string
 	releases chan string
+	withdrew chan string
 }
 
 type sent struct {
@@ -33,6 +34,8 @@
 
 func (a handAttempt) Abort() { a.h.aborts <- a.to }
 
+func (a handAttempt) Withdraw() { a.h.withdrew <- a.to }
+
 func (h *hand) Send(_ core.Call, to core.Target, _ time.Duration, ev core.Events) core.Attempt {
 	h.sends <- sent{to.Name, ev}
 	return handAttempt{h, to.Name}
@@ -46,7 +49,8 @@
 
 func start(t *testing.T) (*hand, *core.Core) {
 	t.Helper()
-	h := &hand{sends: make(chan sent, 64), aborts: make(chan string, 64), releases: make(chan string, 64)}
+	h := &hand{sends: make(chan sent, 64), aborts: make(chan string, 64), releases: make(chan string, 64),
+		withdrew: make(chan string, 64)}
 	cfg, err := testkit.Settings(t).Router()
 	if err != nil {
 		t.Fatal(err)
@@ -256,3 +260,39 @@
 		}
 	}
 }
+
+// An attempt that waits for its connection while its server begins to drain, or is left out of the whole list, is
+// withdrawn, and the request goes elsewhere; others are left alone.
+func TestWithdrawnFromLeavingServers(t *testing.T) {
+	for name, tell := range map[string]func(c *core.Core, leaving string){
+		"draining": func(c *core.Core, leaving string) {
+			c.Roster(false, []core.Listing{{Name: leaving, Kind: 0, State: decide.Draining, Weight: 1}})
+		},
+		"gone": func(c *core.Core, leaving string) {
+			c.Roster(false, []core.Listing{{Name: leaving, State: decide.Gone}})
+		},
+		"left out": func(c *core.Core, leaving string) {
+			other := map[string]string{"r1": "r2", "r2": "r1"}[leaving]
+			c.Roster(true, []core.Listing{{Name: other, Kind: 0, State: decide.Ready, Weight: 1}, {Name: "w1", Kind: 1, State: decide.Ready, Weight: 1}})
+		},
+	} {
+		h, c := start(t)
+		got := ask(c, context.Background(), 1, time.Minute)
+		s := <-h.sends
+		c.Roster(false, []core.Listing{{Name: "w2", Kind: 1, State: decide.Draining, Weight: 1}}) // has nothing to do with it
+		tell(c, s.to)
+		if to := <-h.withdrew; to != s.to || len(h.withdrew) > 0 {
+			t.Errorf("%s: withdrawn from %s, and %d more; sent to %s", name, to, len(h.withdrew), s.to)
+		}
+		s.ev.Ended(core.Outcome{Outcome: decide.ConnectFailed})
+		next := <-h.sends
+		if next.to == s.to {
+			t.Errorf("%s: sent to %s again", name, next.to)
+		}
+		next.ev.Ended(core.Outcome{Outcome: decide.ReadDone})
+		(<-h.sends).ev.First(noStream{})
+		if a := <-got; a.Kind != core.Served {
+			t.Errorf("%s: answer %+v", name, a)
+		}
+	}
+}
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -11,7 +11,10 @@
 // is read by a goroutine of the Transport's, which runs at once unless the machine is busy.
 const settleFor = 20 * time.Millisecond
 
-var errStale = errors.New("bytes behind an answer's end")
+var (
+	errStale     = errors.New("bytes behind an answer's end")
+	errWithdrawn = errors.New("attempt withdrawn")
+)
 
 // conn guards against bytes that a replica sends behind an answer's end: they must never be read as the next
 // request's answer. The Transport drops a connection on which it sees such bytes while it is idle, but not
@@ -21,6 +24,7 @@
 	mu      sync.Mutex
 	waiting chan struct{} // closed while a Read is out, which is only when all that came has been used
 	fresh   bool          // a request has the connection and has written nothing yet
+	begin   func() bool   // asked before the first byte of an attempt is written, nil for other calls and after that
 }
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c, waiting: make(chan struct{})} }
@@ -43,11 +47,22 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.fresh = false
+	begin := c.begin
+	c.fresh, c.begin = false, nil
 	c.mu.Unlock()
+	if begin != nil && !begin() {
+		return 0, errWithdrawn
+	}
 	return c.Conn.Write(p)
 }
 
+// use is called by a call that has got the connection and has written nothing yet.
+func (c *conn) use(begin func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begin = begin
+}
+
 // take tells whether nothing is left of the answer before, so that a request can have the connection; one
 // that cannot is closed.
 func (c *conn) take() bool {
--- a/internal/servers/exchange_test.go
+++ b/internal/servers/exchange_test.go
@@ -1,8 +1,11 @@
 package servers
 
 import (
+	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http/httptrace"
 	"testing"
 )
 
@@ -43,23 +46,56 @@
 	}
 }
 
+// Once an attempt is withdrawn no first byte of it is written, also not on another connection after one that was of no
+// use; what has been begun goes on.
+func TestWithdrawnWritesNothing(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		ctx, cancel := context.WithCancel(t.Context())
+		a := &attempt{ctx: ctx, cancel: cancel, body: &body{}}
+		write := func() (int, error) {
+			near, far := net.Pipe()
+			defer near.Close()
+			go io.Copy(io.Discard, far)
+			c, x := newConn(near), newExchange(a)
+			if !usable(httptrace.GotConnInfo{Conn: c}, x.begin) {
+				t.Fatal("a new connection is not usable")
+			}
+			return c.Write([]byte("POST"))
+		}
+		if begun {
+			if n, err := write(); n != 4 || err != nil {
+				t.Fatalf("before it was withdrawn: %d bytes, %v", n, err)
+			}
+		}
+		a.Withdraw()
+		if ended := ctx.Err() != nil; ended == begun {
+			t.Errorf("begun %t: ended by being withdrawn %t", begun, ended)
+		}
+		if n, err := write(); n != 0 || !errors.Is(err, errWithdrawn) {
+			t.Errorf("begun %t: %d bytes written after it was withdrawn, %v", begun, n, err)
+		}
+	}
+}
+
 // Only a call whose last byte was not written, over a connection that had been used before, may take another
 // connection: after that it may have run, and a new connection that fails tells of its replica.
 func TestSpent(t *testing.T) {
 	for _, c := range []struct {
-		idle                   int64
-		written, unsent, given bool
-		want                   bool
+		idle                          int64
+		wrote, written, unsent, given bool
+		want                          bool
 	}{
-		{idle: 5, written: true, unsent: true, given: true, want: true},
-		{idle: 5, want: true}, // it broke before anything was written
-		{idle: 5, written: true, given: true},
-		{idle: 5, given: true}, // nobody knows how far the writing came
-		{idle: -1, written: true, unsent: true},
+		{idle: 5, wrote: true, written: true, unsent: true, given: true, want: true},
+		{idle: 5, want: true},              // it broke before anything was written,
+		{idle: 5, given: true, want: true}, // with all of it ready to be
+		{idle: 5, wrote: true, written: true, given: true},
+		{idle: 5, wrote: true, given: true}, // nobody knows how far the writing came
+		{idle: -1, wrote: true, written: true, unsent: true},
 		{idle: -1}, // no connection came up
 	} {
 		x := newExchange(&attempt{body: &body{given: c.given}})
 		x.idle.Store(c.idle)
+		x.wrote.Store(c.wrote)
 		x.written.Store(c.written)
 		x.unsent.Store(c.unsent)
 		if got := x.spent(); got != c.want {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -124,8 +124,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu   sync.Mutex
-	body *body // of the exchange that is out
+	mu        sync.Mutex
+	body      *body // of the exchange that is out
+	writing   bool  // its first byte may have been written
+	withdrawn bool  // nothing of it may be written that has not begun
 }
 
 // Abort implements core.Attempt.
@@ -138,6 +140,23 @@
 	a.cancel()
 }
 
+// Withdraw implements core.Attempt.
+func (a *attempt) Withdraw() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.withdrawn = true; !a.writing {
+		a.cancel()
+	}
+}
+
+// begin settles whether an exchange's first byte may be written.
+func (a *attempt) begin() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.writing = !a.withdrawn
+	return a.writing
+}
+
 // Send implements core.Servers.
 func (p *Pool) Send(call core.Call, to core.Target, limit time.Duration, ev core.Events) core.Attempt {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -152,11 +171,11 @@
 	for n := 0; n < mostStale && err != nil && x.spent(); n++ {
 		// Its last byte was not written, so it is the same attempt, and the replica is not to blame.
 		a.mu.Lock()
-		if a.ctx.Err() != nil {
+		if a.ctx.Err() != nil || a.withdrawn {
 			a.mu.Unlock()
 			break
 		}
-		a.body = &body{rest: call.Body}
+		a.body, a.writing = &body{rest: call.Body}, false
 		x = newExchange(a)
 		a.mu.Unlock()
 		resp, err = x.roundTrip(call, to, limit)
@@ -187,6 +206,7 @@
 	written atomic.Bool  // or writing failed
 	unsent  atomic.Bool  // writing failed before the last byte
 	stale   atomic.Bool  // the connection was of no use, and nothing was written to it
+	wrote   atomic.Bool  // the first byte may have been written
 	begun   atomic.Bool  // the answer itself has
 	idle    atomic.Int64 // how long the connection had stood idle, in ns; -1 for a new one
 
@@ -207,7 +227,7 @@
 func (x *exchange) roundTrip(call core.Call, to core.Target, limit time.Duration) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			x.stale.Store(!usable(info))
+			x.stale.Store(!usable(info, x.begin))
 			if x.idle.Store(-1); info.Reused {
 				x.idle.Store(int64(info.IdleTime))
 			}
@@ -264,10 +284,23 @@
 	}
 }
 
-// usable tells whether a connection may take a request.
-func usable(info httptrace.GotConnInfo) bool {
+// begin is asked before the exchange's first byte is written.
+func (x *exchange) begin() bool {
+	if !x.attempt.begin() {
+		return false
+	}
+	x.wrote.Store(true)
+	return true
+}
+
+// usable tells whether a connection may take a request, which asks begin before its first byte.
+func usable(info httptrace.GotConnInfo, begin func() bool) bool {
 	c, ok := info.Conn.(*conn)
-	return !ok || !info.Reused || c.take()
+	if !ok {
+		return false // no connection of this pool's
+	}
+	c.use(begin)
+	return !info.Reused || c.take()
 }
 
 // spent tells whether the call was to go over a used connection that turned out to be closed, before the last
@@ -279,7 +312,7 @@
 	x.body.mu.Lock()
 	defer x.body.mu.Unlock()
 	switch {
-	case x.stale.Load(), x.written.Load() && x.unsent.Load():
+	case !x.wrote.Load(), x.stale.Load(), x.written.Load() && x.unsent.Load():
 		return decide.ConnectFailed
 	case x.written.Load(), x.body.given:
 		return decide.Reset
@@ -404,7 +437,7 @@
 func (p *Pool) short(method string, to core.Target, path, duty string, limit time.Duration) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { usable(info) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { usable(info, nil) }})
 	req, err := newRequest(ctx, method, to.Addr, path)
 	if err != nil {
 		return nil, nil, err
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -177,6 +177,36 @@
 	}
 }
 
+// An attempt that still waits for a connection when its server begins to drain must not be written to it: a send
+// counts from its first byte. One whose first byte is out goes on.
+func TestWithdraw(t *testing.T) {
+	begun, answer := make(chan bool, 4), make(chan bool)
+	r := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		begun <- true
+		<-answer
+		testkit.Read(w, r, n)
+	})
+	pool := servers.New(testkit.Settings(t), 1, 1) // one connection: the second attempt waits for the first one's
+	defer pool.Close()
+	first, second := newEvents(), newEvents()
+	to := core.Target{Name: "s", Addr: r.Addr}
+	out := pool.Send(call, to, 5*time.Second, first)
+	<-begun
+	waits := pool.Send(call, to, 5*time.Second, second)
+	waits.Withdraw()
+	if o := <-second.ended; o.Outcome != decide.ConnectFailed {
+		t.Errorf("an attempt without a connection ended with %d", o.Outcome)
+	}
+	out.Withdraw()
+	close(answer)
+	if o := <-first.ended; o.Outcome != decide.ReadDone {
+		t.Errorf("an attempt that was written ended with %d", o.Outcome)
+	}
+	if total, _ := r.Calls(); total != 1 {
+		t.Errorf("%d calls came", total)
+	}
+}
+
 func TestStreamWhole(t *testing.T) {
 	r := testkit.NewReplica(t, testkit.Write("alpha", "beta"))
 	_, ev := send(t, r.Addr)
