Take deployments without zones

All is now in one zone. A new configuration that lacks the key where the deployment has zones is still refused whole.

--- a/cmd/rampspread/fleet.go
+++ b/cmd/rampspread/fleet.go
@@ -102,7 +102,7 @@
 	for _, k := range router.Kinds {
 		roles = append(roles, k.Role)
 	}
-	return keep.New(file.Subset(), cfg.Name, cfg.Settings.Zones, roles, func() (f keep.Fleet) {
+	return keep.New(file.Subset(), cfg.Name, cfg.Settings.Zone, roles, func() (f keep.Fleet) {
 		n := p.member.Load()
 		if n == nil {
 			return f
@@ -182,10 +182,7 @@
 	if file == nil {
 		return nil
 	}
-	zone := ""
-	if cfg.Settings.Az >= 0 && cfg.Settings.Az < len(cfg.Settings.Zones) {
-		zone = cfg.Settings.Zones[cfg.Settings.Az]
-	}
+	zone := cfg.Settings.ZoneName(cfg.Settings.Az)
 	var take func([]byte)
 	if p.claims != nil {
 		take = p.claims.Take
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -169,7 +169,7 @@
 		return core.Listing{}, errors.Join(fmt.Errorf("entry %q: unknown lifecycle %q", in.ID, in.Lifecycle), badType)
 	}
 	e := core.Listing{Name: in.ID, Addr: in.HostPort, State: state, Cell: in.Cell, Weight: in.Weight,
-		Zone: slices.Index(w.settings.Zones, in.Zone), Kind: slices.Index(w.settings.Kinds, in.MachineType)}
+		Zone: w.settings.Zone(in.Zone), Kind: slices.Index(w.settings.Kinds, in.MachineType)}
 	if in.StartedAtMS > 0 && in.StartedAtMS < 1e14 {
 		e.Started = time.UnixMicro(int64(in.StartedAtMS * 1000))
 	}
--- a/internal/fleet/keep/keep.go
+++ b/internal/fleet/keep/keep.go
@@ -37,7 +37,7 @@
 type Keeper struct {
 	limits subset.Limits
 	self   string
-	zones  []string
+	zone   func(name string) int
 	roles  []decide.Role // by kind
 	fleet  func() Fleet
 	to     func(names []string) bool // must not block; false: it had no room
@@ -60,9 +60,9 @@
 	TookMS  float64  `json:"took_ms"` // to work the last one out
 }
 
-// New returns a Keeper that Run must drive. zones and roles are the settings'; to takes the names, none for all.
-func New(limits subset.Limits, self string, zones []string, roles []decide.Role, fleet func() Fleet, to func([]string) bool) *Keeper {
-	return &Keeper{limits: limits, self: self, zones: zones, roles: roles, fleet: fleet, to: to, replicas: map[string]subset.Replica{},
+// New returns a Keeper that Run must drive. zone numbers the settings' zones, and roles are theirs; to takes the names, none for all.
+func New(limits subset.Limits, self string, zone func(name string) int, roles []decide.Role, fleet func() Fleet, to func([]string) bool) *Keeper {
+	return &Keeper{limits: limits, self: self, zone: zone, roles: roles, fleet: fleet, to: to, replicas: map[string]subset.Replica{},
 		status: Status{Self: self}}
 }
 
@@ -106,7 +106,7 @@
 	for _, m := range f.View.Members {
 		gone := m.State == view.Unreachable || m.State == view.Left
 		if m.Counts() || gone && f.Now-m.Since < hold {
-			out = append(out, subset.Dispatcher{Name: m.Name, Zone: slices.Index(k.zones, m.Zone)})
+			out = append(out, subset.Dispatcher{Name: m.Name, Zone: k.zone(m.Zone)})
 		}
 	}
 	return out
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -55,8 +55,8 @@
 	if err := router.Validate(); err != nil {
 		return fmt.Errorf("config: settings: %w", err)
 	}
-	if len(c.Settings.Kinds) != len(c.Settings.FamilyInfo.DutyByKind) || len(c.Settings.Zones) == 0 {
-		return errors.New("config: settings: needs zones, and a duty for each kind")
+	if len(c.Settings.Kinds) != len(c.Settings.FamilyInfo.DutyByKind) {
+		return errors.New("config: settings: needs a duty for each kind")
 	}
 	return nil
 }
--- a/internal/wire/retune.go
+++ b/internal/wire/retune.go
@@ -27,8 +27,8 @@
 	if s.Limits.MostTries <= 0 {
 		return errors.New("settings: limits: mostTries must be over 0")
 	}
-	if len(s.Kinds) == 0 || len(s.Kinds) != len(s.FamilyInfo.DutyByKind) || len(s.Zones) == 0 {
-		return errors.New("settings: needs zones, kinds, and a duty for each kind")
+	if len(s.Kinds) == 0 || len(s.Kinds) != len(s.FamilyInfo.DutyByKind) {
+		return errors.New("settings: needs kinds, and a duty for each kind")
 	}
 	router, err := s.Router()
 	if err != nil {
@@ -46,6 +46,7 @@
 	Config decide.Config  // for the module, with every class that was in force since the start
 	Names  map[string]int // the classes that clients may name now, by their numbers in Config
 	names  []string       // the name of each of Config's classes
+	zoned  bool           // the deployment has zones
 }
 
 // Table is the table at the start.
@@ -54,7 +55,7 @@
 	if err != nil {
 		return Classes{}, err
 	}
-	t := Classes{Config: cfg, Names: map[string]int{}}
+	t := Classes{Config: cfg, Names: map[string]int{}, zoned: len(s.Zones) > 0}
 	for i, c := range s.Classes {
 		t.names = append(t.names, c.Name)
 		if _, ok := t.Names[c.Name]; !ok {
@@ -68,11 +69,14 @@
 // one, or one whose rules changed, is added at the end; one that is gone can no longer be named. All else of
 // the module's configuration is the new settings'. next must have passed Check.
 func (t Classes) Retune(next *Settings) (Classes, error) {
+	if t.zoned && len(next.Zones) == 0 {
+		return t, errors.New("settings: needs the deployment's zones") // it lacks a key, and so may lack others
+	}
 	cfg, err := next.Router()
 	if err != nil {
 		return t, err
 	}
-	out := Classes{Config: cfg, Names: map[string]int{}, names: append([]string(nil), t.names...)}
+	out := Classes{Config: cfg, Names: map[string]int{}, names: append([]string(nil), t.names...), zoned: t.zoned}
 	out.Config.Classes = append([]decide.Class(nil), t.Config.Classes...)
 	for i, c := range cfg.Classes {
 		name, number := next.Classes[i].Name, -1
--- a/internal/wire/retune_test.go
+++ b/internal/wire/retune_test.go
@@ -35,6 +35,7 @@
 		"no effect":     strings.Replace(tuned, `"effect":"fragile",`, ``, 1),
 		"no duties":     strings.Replace(tuned, `"dutyByKind":["read","write"]`, `"dutyByKind":["read"]`, 1),
 		"twice a name":  strings.Replace(tuned, `"meldung"`, `"frage"`, 1),
+		"no kinds":      strings.Replace(tuned, `"kinds"`, `"arten"`, 1),
 		"nameless":      strings.Replace(tuned, `"name":"meldung",`, ``, 1),
 		"deadline NaN?": strings.Replace(tuned, `"hardLimitMs":15000`, `"hardLimitMs":-15000`, 1),
 	} {
@@ -76,3 +77,27 @@
 		t.Errorf("after a drop: %v, %d classes", again.Names, len(again.Config.Classes))
 	}
 }
+
+// A deployment may have no zones, and then has but one; one that has zones does not lose them by a file that lacks
+// the key.
+func TestZones(t *testing.T) {
+	zoned, without := parse(t, tuned), parse(t, strings.Replace(tuned, `"zones":["wien"],`, ``, 1))
+	if zoned.Zone("wien") != 0 || zoned.Zone("linz") != -1 || zoned.ZoneName(0) != "wien" || zoned.ZoneName(1) != "" {
+		t.Error("zones are not numbered as the settings name them")
+	}
+	if without.Zone("") != 0 || without.Zone("linz") != 0 || without.ZoneName(0) != "" || without.Check() != nil {
+		t.Error("without zones all is in one")
+	}
+	for _, c := range []struct {
+		start, next *Settings
+		taken       bool
+	}{{zoned, zoned, true}, {zoned, without, false}, {without, without, true}} {
+		table, err := c.start.Table()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := table.Retune(c.next); (err == nil) != c.taken {
+			t.Errorf("from %q to %q: %v", c.start.Zones, c.next.Zones, err)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"rampspread/decide"
@@ -69,6 +70,23 @@
 // Elsewhere discovery has to be asked, and serves all dispatchers with a fixed capacity.
 func (s *Settings) Pushed() bool { return s.Discovery != "ask" }
 
+// Zone is the number of a zone, -1 for one that the settings do not name. A deployment may have no zones: all it has
+// is then in one.
+func (s *Settings) Zone(name string) int {
+	if len(s.Zones) == 0 {
+		return 0
+	}
+	return slices.Index(s.Zones, name)
+}
+
+// ZoneName is the name of the zone of a number, none where the deployment has no zones.
+func (s *Settings) ZoneName(zone int) string {
+	if zone < 0 || zone >= len(s.Zones) {
+		return ""
+	}
+	return s.Zones[zone]
+}
+
 // Router translates the settings for a Router; what is absent means what the wire says.
 func (s *Settings) Router() (decide.Config, error) {
 	cfg := decide.Config{
--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -112,7 +112,7 @@
 		for i, e := range list {
 			if i == 0 || list[i-1].Zone != e.Zone {
 				load.Endpoints = append(load.Endpoints, &endpointv3.LocalityLbEndpoints{
-					Locality:            &corev3.Locality{Zone: s.settings.Zones[e.Zone]},
+					Locality:            &corev3.Locality{Zone: s.settings.ZoneName(e.Zone)},
 					LoadBalancingWeight: wrapperspb.UInt32(1)})
 			}
 			endpoint, err := lbEndpoint(e)
