Take clients once the agent has confirmed the list, or its silence has lasted too long

Need: serve took clients with the list of the configuration, which may be old, while what the agent has counts as told from the first moment of a process on.

Ruled out: holding a start up until the agent speaks: while discovery is down it is silent, knows no more than the list of the start, and 30 s without being ready is a crash.

Change: where lists are pushed, the client listeners open once the agent's list has been applied, or after the time in which news has to bind (500 ms here).

--- a/cmd/rampspread/main_test.go
+++ b/cmd/rampspread/main_test.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"rampspread/internal/testkit"
 )
@@ -298,3 +299,47 @@
 		t.Errorf("got %v, %v", cfg, err)
 	}
 }
+
+// A process takes no clients before the agent has told its list: the one that it starts with may be old, and what the
+// agent has counts as told from the first moment on. An agent that is silent holds it up no longer than news has to bind.
+func TestServesOnceTheListIsConfirmed(t *testing.T) {
+	known := listText("127.0.0.1:1", "127.0.0.1:1")
+	for _, c := range []struct {
+		binds  string
+		silent bool
+	}{{"60000", false}, {"100", true}} {
+		listen := freeAddr(t)
+		var early atomic.Bool
+		agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if c.silent {
+				<-r.Context().Done()
+				return
+			}
+			if r.URL.Query().Get("stream") == "" {
+				time.Sleep(200 * time.Millisecond) // in which a program that does not wait comes to serve
+				if l, err := net.Dial("tcp", listen); err == nil {
+					l.Close()
+					early.Store(true)
+				}
+			}
+			io.WriteString(w, known)
+		}))
+		text := strings.Replace(configText(listen, agent.Listener.Addr().String(), known), `"rules":{`, `"rules":{"stopSendingWithinMs":`+c.binds+`,`, 1)
+		t.Setenv("LB_CONFIG", file(t, "config.json", text))
+		ctx, term := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- run(ctx, []string{"serve"}, signals{}, io.Discard) }()
+		ready(t, listen)
+		if c.silent {
+			agent.CloseClientConnections()
+		}
+		agent.Close() // waits for the call for the list
+		if early.Load() {
+			t.Error("it took clients while the agent had not told its list")
+		}
+		term()
+		if err := <-ended; err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	}
+}
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -221,6 +221,16 @@
 		}
 	})
 
+	if cfg.Settings.Pushed() {
+		// The list of the start may be old, and what the agent has counts as told from the first moment on. It tells it
+		// at once; one that is silent is waited for no longer than news has to bind.
+		select {
+		case <-p.watch.Confirmed():
+		case <-time.After(cfg.Settings.Binds()):
+		case <-ctx.Done():
+		}
+	}
+
 	// Clients hold at most 1 in 3 of the sockets for requests, and each of those can need one to a replica.
 	// Connections without an open request get 1 in 8 more, idle ones to replicas as many, and the rest is
 	// for discovery, releases and the process itself.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -66,14 +66,15 @@
 	bad      atomic.Int64
 	attempts atomic.Int64 // times that it was followed, or not even that
 
-	mu    sync.Mutex
-	addr  string
-	moved chan struct{} // closed by the next Move
+	mu        sync.Mutex
+	addr      string
+	moved     chan struct{} // closed by the next Move
+	confirmed chan struct{} // closed once discovery has told its list
 }
 
 // New returns a Watcher that hands every list to apply. The seed draws the pauses between its attempts.
 func New(addr string, settings *wire.Settings, seed uint64, apply func(bool, []core.Listing)) *Watcher {
-	w := &Watcher{addr: addr, moved: make(chan struct{}), settings: settings, apply: apply, quiet: quietAsked,
+	w := &Watcher{addr: addr, moved: make(chan struct{}), confirmed: make(chan struct{}), settings: settings, apply: apply, quiet: quietAsked,
 		backoff: newBackoff(seed, func() float64 { return float64(settings.Balancers) }),
 		client: &http.Client{
 			Transport: &http.Transport{
@@ -81,19 +82,14 @@
 			},
 		}}
 	if settings.Pushed() {
-		w.quiet, w.backoff.agent = quietPushed, agentPause(settings)
+		// An agent answers at once and at no cost, and what it has counts as told whether or not a watch is open: a
+		// pause takes only a tenth of the time in which that has to bind.
+		w.quiet, w.backoff.agent = quietPushed, settings.Binds()/10
 	}
 	w.stale.Store(true)
 	return w
 }
 
-// agentPause is what a watcher waits between attempts at an agent of its own machine, which answers at once and
-// at no cost. What the agent has counts as told whether or not a watch is open, so a pause takes only a tenth of
-// the time in which that has to bind.
-func agentPause(settings *wire.Settings) time.Duration {
-	return cmp.Or(wire.FromMS(settings.Rules.StopSendingWithinMs), 500*time.Millisecond) / 10
-}
-
 // Fleet makes the pauses follow how many dispatchers there are with a part like this one's; before Run.
 func (w *Watcher) Fleet(many func() float64) { w.backoff.fleet = many }
 
@@ -273,7 +269,7 @@
 	if err != nil {
 		return err
 	}
-	w.Apply(l, true)
+	w.confirm(l, true)
 	return nil
 }
 
@@ -300,6 +296,20 @@
 	return l.Generation, err
 }
 
+// Confirmed is closed once discovery itself has told its list: the one that a process starts with may be old.
+func (w *Watcher) Confirmed() <-chan struct{} { return w.confirmed }
+
+// confirm is called with what discovery has told.
+func (w *Watcher) confirm(l List, full bool) (whole bool) {
+	whole = w.Apply(l, full)
+	select {
+	case <-w.confirmed:
+	default:
+		close(w.confirmed)
+	}
+	return whole
+}
+
 // Refresh takes the whole list anew at once, as after a move: what was told so far may be old.
 func (w *Watcher) Refresh() {
 	w.mu.Lock()
@@ -338,7 +348,7 @@
 			}
 			return fmt.Errorf("discovery: watch: %w", cause(ctx, err))
 		}
-		if whole := w.Apply(l, l.Reset); !whole && !l.Reset {
+		if whole := w.confirm(l, l.Reset); !whole && !l.Reset {
 			return errors.New("discovery: watch: a change could not be read") // the whole list may tell it
 		}
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -70,6 +71,11 @@
 // Elsewhere discovery has to be asked, and serves all dispatchers with a fixed capacity.
 func (s *Settings) Pushed() bool { return s.Discovery != "ask" }
 
+// Binds is how long after the news that a server drains or is gone nothing more may be sent to it.
+func (s *Settings) Binds() time.Duration {
+	return cmp.Or(FromMS(s.Rules.StopSendingWithinMs), 500*time.Millisecond)
+}
+
 // Zone is the number of a zone, -1 for one that the settings do not name. A deployment may have no zones: all it has
 // is then in one.
 func (s *Settings) Zone(name string) int {
