--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -71,7 +71,7 @@
 
 const (
 	defaultProbe = 250 * time.Millisecond
-	maxMembers   = 1000
+	maxMembers   = 4096 // names on the file's list; what grows with them grows by need
 	maxName      = 64
 )
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -545,8 +545,8 @@
 	Incarnation uint64 `json:"i"`
 }
 
-// maxKnown bounds what is read of another's list.
-const maxKnown = 128 << 10
+// maxKnown bounds what is read of another's list, in bytes: names of maxName and numbers of 20 digits in their JSON.
+const maxKnown = maxMembers * (maxName + 64)
 
 // LocalState implements memberlist.Delegate: the latest incarnation of each name, so that one that comes back without
 // memory, and with a clock that went back, takes a higher one.
--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -35,7 +35,7 @@
 const (
 	everyone       = "all" // all proxies see one list
 	connectTimeout = 250 * time.Millisecond
-	mostStreams    = 100
+	mostStreams    = 1024 // on one connection
 )
 
 type oneNode struct{}
