Play drawn deployments in the rig, with lost watches beside drains, judged by what agents have

The rig had one, and held a drain to be told once it had been written, so a dispatcher that had lost its watch could send for ever.

What an agent has counts as told at once, what a silent watch misses 6 s after it fell silent, the rest 6 s later at the latest. The checker knows where dedup classes may run again.

--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -209,9 +209,9 @@
 	}
 	id := strconv.FormatUint(rng.Uint64(), 16)
 	c.run.cluster.know(id, s)
-	head := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\n"+
+	head := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\n%s"+
 		"X-Object: %s\r\nX-Expires-In: %dm\r\nX-Props: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
-		id, s.class.name, s.session, patience.Milliseconds(), s.props(), len(s.body), s.body)
+		id, s.class.name, c.run.deployment.tenantLine(s.zone), s.session, patience.Milliseconds(), s.props(), len(s.body), s.body)
 	for fresh := false; ; fresh = true {
 		k, err := c.get(ctx, d, fresh)
 		if err != nil {
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -55,7 +55,7 @@
 // chatFile writes the chat front's file for a dispatcher.
 func (r *Run) chatFile(d int) (string, error) {
 	models := map[string]string{}
-	for _, c := range classes {
+	for _, c := range r.deployment.classes {
 		models[c.name] = c.name
 	}
 	return r.write(fmt.Sprintf("n%d.chat.json", d), map[string]any{"listen": r.addrs.chat(d), "models": models,
@@ -68,7 +68,7 @@
 	if !r.anyone || json.Unmarshal(body, &ask) != nil {
 		return nil
 	}
-	for _, c := range classes {
+	for _, c := range r.deployment.classes {
 		if c.name == ask.Model {
 			id := q.Header.Get("X-Trace-Id")
 			if !c.safe {
--- /dev/null
+++ b/internal/rig/deployments_test.go
@@ -0,0 +1,136 @@
+package rig
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"rampspread/internal/rig/history"
+)
+
+// seeds are those of the drawn deployments that are played: a few, or as many as RAMPSPREAD_DEPLOYMENTS says.
+func seeds(t *testing.T) (out []uint64) {
+	n, err := strconv.Atoi(cmp.Or(os.Getenv("RAMPSPREAD_DEPLOYMENTS"), "4"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for s := range n {
+		out = append(out, uint64(s+1))
+	}
+	return out
+}
+
+// Other deployments than the project's own, drawn from fixed seeds, with lost watches and drains just then, hanging
+// servers, kills, SIGTERM and moves: no rule breaks and nothing crashes. The checker knows what the stand-ins saw on
+// their sockets only, and is shown to see a breach of each kind in that same day.
+func TestDrawnDeployments(t *testing.T) {
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			day := drawDay(seed)
+			r, err := Play(context.Background(), day, Options{Program: program, Dispatchers: 3, Seed: seed, Deployment: seed, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.breaches {
+				t.Errorf("%s: %s", describe(day), b)
+			}
+			if r.Crashes > 0 || r.Asked == 0 || r.ByStatus["served"] == 0 {
+				t.Errorf("%s: %d crashes, %d asked, %v", describe(day), r.Crashes, r.Asked, r.ByStatus)
+			}
+			plan := drawDeployment(day.Zones, seed)
+			if n := count(r.events, history.Probe); !plan.probes && n > 0 {
+				t.Errorf("%d probes where the settings allow none", n)
+			}
+			mutants(t, r.events, plan)
+		})
+	}
+}
+
+func describe(s *Scenario) string {
+	var out bytes.Buffer
+	for _, f := range s.Faults {
+		fmt.Fprintf(&out, "%s%s at %.1f, ", f.Do, f.Links, f.At)
+	}
+	return out.String()
+}
+
+func count(events []history.Event, kind history.Kind) (n int) {
+	for _, e := range events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// mutants breaks one rule of each kind in a day that kept them, at a place drawn by its length, and wants the checker to
+// see it.
+func mutants(t *testing.T, events []history.Event, plan *deployment) {
+	t.Helper()
+	rules := plan.rules(func(string) *replica { return &replica{} })
+	rng := rand.New(rand.NewPCG(uint64(len(events)), 1))
+	blamed := func(d int) bool {
+		return slices.ContainsFunc(events, func(e history.Event) bool { return e.Kind == history.Down && e.Dispatcher == d })
+	}
+	find := func(what string, ok func(e history.Event) bool) (history.Event, bool) {
+		var at []history.Event
+		for _, e := range events {
+			if ok(e) {
+				at = append(at, e)
+			}
+		}
+		if len(at) == 0 {
+			t.Logf("no place for %s on this day", what)
+			return history.Event{}, false
+		}
+		return at[rng.IntN(len(at))], true
+	}
+	later := func(e history.Event, d time.Duration, kind history.Kind) history.Event {
+		e.At, e.Sent, e.Kind, e.Sound = e.At+d, 0, kind, true
+		return e
+	}
+	long := time.Minute // after all that can excuse it
+	for rule, mutate := range map[string]func() ([]history.Event, bool){
+		history.Drains: func() ([]history.Event, bool) {
+			told, ok := find("a send to a leaving server", func(e history.Event) bool { return e.Kind == history.Told })
+			gone := later(told, long, history.Told)
+			return []history.Event{gone, later(gone, rules.DrainWithin+rules.Slack+1, history.Came)}, ok
+		},
+		history.NoSecond: func() ([]history.Event, bool) {
+			ran, ok := find("a second run", func(e history.Event) bool {
+				return e.Kind == history.Began && slices.Contains(rules.Unsafe, e.Class)
+			})
+			return []history.Event{later(ran, long, history.Began)}, ok
+		},
+		history.OneAnswer: func() ([]history.Event, bool) {
+			asked, ok := find("a lost answer", func(e history.Event) bool { return e.Kind == history.Asked && !blamed(e.Dispatcher) })
+			lost := later(asked, long, history.Asked)
+			lost.Request, lost.Until = "lost", lost.At+time.Second
+			return []history.Event{lost, later(lost, 2*time.Second, history.Quit)}, ok
+		},
+		history.Pinned: func() ([]history.Event, bool) {
+			held, ok := find("a state held too long", func(e history.Event) bool { return e.Kind == history.Held && !blamed(e.Dispatcher) })
+			held.Request = "pinned"
+			came := later(held, long, history.Came)
+			return []history.Event{came, later(came, 1, history.Held), later(came, 2, history.Ended),
+				later(came, 3+rules.ReleaseAfter+rules.Slack, history.Freed)}, ok
+		},
+	} {
+		added, ok := mutate()
+		if !ok {
+			continue
+		}
+		got := history.Check(append(slices.Clone(events), added...), rules)
+		if !slices.ContainsFunc(got, func(b history.Breach) bool { return b.Rule == rule && b.At >= added[0].At }) {
+			t.Errorf("the checker does not see a breach of %s", rule)
+		}
+	}
+}
--- a/internal/rig/history/check.go
+++ b/internal/rig/history/check.go
@@ -9,17 +9,25 @@
 
 // Rules are the figures that the checker holds a history to; the platform's settings have them.
 type Rules struct {
-	AnswerSlack  time.Duration // beyond a client's deadline
-	DrainWithin  time.Duration // from the news of a drain to the last new request's first byte
-	ReleaseAfter time.Duration // what is held, counted from the end of the last attempt
-	FallMultiple float64       // a cold replica bears so many times its present capacity,
-	FallSpan     time.Duration // over any such span
-	ColdFrom     float64       // the part of its capacity that it starts with
-	Unsafe       []string      // classes that must not run twice
+	AnswerSlack  time.Duration    // beyond a client's deadline
+	DrainWithin  time.Duration    // from the news of a drain to the last new request's first byte
+	ReleaseAfter time.Duration    // what is held, counted from the end of the last attempt
+	FallMultiple float64          // a cold replica bears so many times its present capacity,
+	FallSpan     time.Duration    // over any such span
+	ColdFrom     float64          // the part of its capacity that it starts with
+	Unsafe       []string         // classes that must not run twice
+	Keyed        map[string]Keyed // classes whose repeats some replicas drop, by name
 	// Slack is added to each time: the processes share the machine with the rig.
 	Slack time.Duration
 }
 
+// Keyed says where a class may run again.
+type Keyed struct {
+	Window time.Duration          // from the send of the first attempt that may have run
+	Alike  func(a, b string) bool // the replicas drop each other's repeats
+	All    bool                   // all do: then a refusal is harmless
+}
+
 // Breach is one broken rule.
 type Breach struct {
 	Rule    string        `json:"rule"`
@@ -126,7 +134,14 @@
 // runs: what must not run twice is begun by at most one writer, and not refused once it may have run.
 func (c *checker) runs() {
 	began := map[string]Event{}
+	tried := map[string]time.Duration{} // when the attempts came, by request and replica
 	for _, e := range c.events {
+		if e.Kind == Came {
+			tried[e.Request+" "+e.Replica] = e.At
+		}
+		if k, ok := c.rules.Keyed[e.Class]; ok {
+			c.keyed(k, e, began, tried)
+		}
 		if !slices.Contains(c.rules.Unsafe, e.Class) {
 			continue
 		}
@@ -145,6 +160,23 @@
 	}
 }
 
+// keyed: what some replicas drop repeats of runs again only at one of these, sent within the window, and is refused after it
+// may have run only where all do.
+func (c *checker) keyed(k Keyed, e Event, began map[string]Event, tried map[string]time.Duration) {
+	first, ok := began[e.Request]
+	switch {
+	case e.Kind == Began && !ok:
+		e.Sent = tried[e.Request+" "+e.Replica]
+		began[e.Request] = e
+	case e.Kind == Began && !k.Alike(first.Replica, e.Replica):
+		c.breach(NoSecond, e, "ran at %s %v before, which does not drop its repeats", first.Replica, e.At-first.At)
+	case e.Kind == Began && tried[e.Request+" "+e.Replica] > first.Sent+k.Window+c.rules.Slack:
+		c.breach(NoSecond, e, "sent again %v after it was sent to %s, which drops repeats for %v", tried[e.Request+" "+e.Replica]-first.Sent, first.Replica, k.Window)
+	case e.Kind == Answered && ok && !k.All && (e.Status == 429 || e.Status == 503):
+		c.breach(NoSecond, e, "refused with %d after it began at %s", e.Status, first.Replica)
+	}
+}
+
 // drains: nothing new to a replica that drains or is gone, once the dispatcher knows it. A process that was
 // paused knows it when it wakes.
 func (c *checker) drains() {
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -21,7 +21,7 @@
 
 const (
 	readyWait  = 20 * time.Second
-	triesUsual = 4                       // that a dispatcher's settings allow
+	triesUsual = 4                       // that a dispatcher's settings allow in the usual deployment
 	triesOther = 3                       // after they were changed
 	killAfter  = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline counts as 3 s, and 0.7 s more
 )
@@ -33,6 +33,7 @@
 	config string   // path
 	args   []string // of every life
 	tries  int      // how many its settings allow
+	moves  int      // of discovery, which has two addresses
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -240,33 +241,6 @@
 	return out
 }
 
-// settings is the platform's object for a dispatcher of a rig: the deployment's classes on the rig's replicas.
-func (r *Run) settings(d int) map[string]any {
-	var table []map[string]any
-	var aims, tokens []float64
-	for _, c := range classes {
-		effect := "fragile"
-		if c.safe {
-			effect = "retryable"
-		}
-		table = append(table, map[string]any{"name": c.name, "effect": effect, "group": "all", "importance": c.worth,
-			"promiseMs": c.aim.Milliseconds(), "hardLimitMs": c.deadline.Milliseconds(), "lateWorth": 0.1, "streaming": true, "windowMs": 5000})
-		aims = append(aims, 40_000)
-		tokens = append(tokens, float64(c.token.Milliseconds()))
-	}
-	return map[string]any{
-		"az": d % r.scenario.Zones, "balancers": len(r.procs), "me": d, "zones": r.zones, "classes": table,
-		"kinds": []string{"prefill", "decode-a"}, "discovery": "push", "family": "twostage",
-		"familyInfo": map[string]any{"aimUsPer1000PromptTokens": aims, "dutyByKind": []string{"read", "write"},
-			"localRead": false, "releaseWithinMs": 300, "tokenAimMs": tokens, "resume": false},
-		"limits": map[string]any{"cancelling": true, "connIdleMs": 15000, "connectTimeoutMs": 250, "maxRetryAfterMs": 500,
-			"mostHeld": 20000, "mostTries": r.procs[d].tries, "probing": true, "retryAfter": true, "secondCopies": true},
-		"rules": map[string]any{"answerSlackMs": 8, "coldFrom": r.rules.ColdFrom, "coldMs": warmAfter.Milliseconds(),
-			"fallMultiple": r.rules.FallMultiple, "stopSendingWithinMs": 500, "tipAfterMs": r.rules.FallSpan.Milliseconds()},
-		"telemetry": map[string]any{"fields": []string{"util", "queue", "x0"}, "how": "pull"},
-	}
-}
-
 // write writes one of the run's files as JSON and returns its path.
 func (r *Run) write(name string, value any) (string, error) {
 	text, err := json.MarshalIndent(value, "", " ")
@@ -290,10 +264,23 @@
 	p.signal(syscall.SIGHUP, false, false)
 }
 
+// move takes discovery to its other address: the one that was takes no new calls.
+func (p *proc) move() {
+	r := p.run
+	p.moves++
+	r.discovery.listeners[p.index][p.moves%2].SetDown(false)
+	if err := p.writeConfig(); err != nil {
+		r.options.Log.Warn("move", "err", err)
+		return
+	}
+	r.discovery.listeners[p.index][1-p.moves%2].SetDown(true)
+	p.signal(syscall.SIGHUP, false, false)
+}
+
 func (p *proc) writeConfig() (err error) {
 	r := p.run
 	p.config, err = r.write(fmt.Sprintf("n%d.json", p.index), map[string]any{
-		"name": r.names[p.index], "listen": r.addrs.listen(p.index), "discovery": r.addrs.discovery(p.index), "ops": r.addrs.ops(p.index),
+		"name": r.names[p.index], "listen": r.addrs.listen(p.index), "discovery": r.addrs.discovery(p.index, p.moves%2), "ops": r.addrs.ops(p.index),
 		"seed":   fmt.Sprintf("%016x", r.options.Seed*1000+uint64(p.index)+1),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"known":  r.discovery.known(p.index), "settings": r.settings(p.index),
--- a/internal/rig/replica.go
+++ b/internal/rig/replica.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,10 +56,11 @@
 	end     context.CancelFunc
 	cold    *history.Budget // nil: warm since long
 	slow    float64
-	fails   float64   // the part of its calls that it answers with 500
-	free    time.Time // a reader's queue is worked off by then
-	waiting int       // requests waiting, and at a reader being read
-	active  int       // answers being written
+	hung    chan struct{} // closed once it answers again; nil: it does
+	fails   float64       // the part of its calls that it answers with 500
+	free    time.Time     // a reader's queue is worked off by then
+	waiting int           // requests waiting, and at a reader being read
+	active  int           // answers being written
 	slots   chan struct{}
 	kept    map[string]int // tokens kept, by text
 	keptAll int
@@ -75,10 +77,11 @@
 
 // cluster is all replicas, and what they hold of requests.
 type cluster struct {
-	history  *history.Recorder
-	rules    history.Rules
-	replicas []*replica
-	stranger func(*http.Request, []byte) *spec // makes a request of one that is not known; nil: of none
+	history    *history.Recorder
+	rules      history.Rules
+	replicas   []*replica
+	deployment *deployment
+	stranger   func(*http.Request, []byte) *spec // makes a request of one that is not known; nil: of none
 
 	mu     sync.Mutex
 	specs  map[string]*spec // requests that clients have sent, by id
@@ -113,6 +116,12 @@
 	return c
 }
 
+// named is the replica of a name.
+func (c *cluster) named(name string) *replica {
+	i := slices.IndexFunc(c.replicas, func(r *replica) bool { return r.name == name })
+	return c.replicas[i]
+}
+
 // know registers a request before its client sends it; replicas answer 400 to any other.
 func (c *cluster) know(id string, s *spec) {
 	c.mu.Lock()
@@ -205,6 +214,32 @@
 	r.slow = factor
 }
 
+// setHung lets it take calls and answer none.
+func (r *replica) setHung(hung bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if hung {
+		r.hung = make(chan struct{})
+	} else {
+		close(r.hung)
+		r.hung = nil
+	}
+}
+
+// hang returns once it answers, or its caller has gone.
+func (r *replica) hang(ctx context.Context) {
+	r.mu.Lock()
+	hung := r.hung
+	r.mu.Unlock()
+	if hung == nil {
+		return
+	}
+	select {
+	case <-hung:
+	case <-ctx.Done():
+	}
+}
+
 func (r *replica) setFails(part float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -272,6 +307,7 @@
 	came := h.Now()
 	if id, ok := strings.CutPrefix(q.URL.Path, "/bootstrap/rooms/"); ok {
 		if q.Method == http.MethodDelete {
+			r.hang(q.Context())
 			r.cluster.take(id, link.Sound(time.Now().Add(-time.Second)))
 			w.WriteHeader(http.StatusNoContent)
 			return
@@ -286,7 +322,14 @@
 			e.Weight, _ = strconv.ParseFloat(number, 64)
 		}
 		h.Add(e)
-		io.WriteString(w, r.load())
+		if !r.cluster.deployment.probes {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		r.hang(q.Context())
+		if r.cluster.deployment.reports {
+			io.WriteString(w, r.load())
+		}
 		return
 	}
 	body, err := io.ReadAll(q.Body)
@@ -324,6 +367,7 @@
 		r.kill()
 		return
 	}
+	r.hang(q.Context())
 	r.mu.Lock()
 	fails := r.fails
 	r.mu.Unlock()
@@ -508,16 +552,20 @@
 
 // discovery is a stand-in for the service that tells the list. Each dispatcher is told addresses of its own.
 type discovery struct {
-	history *history.Recorder
-	addr    func(r *replica, dispatcher int) string
-	zones   []string
+	history    *history.Recorder
+	addr       func(r *replica, dispatcher int) string
+	deployment *deployment
+	listeners  [][2]*fault.Listener // by dispatcher
 
 	mu      sync.Mutex
 	entries map[string]entry // by name, as they are now
 	version uint64
 	late    time.Duration
 	silent  bool
-	frozen  map[int]snapshot // of dispatchers that are told an old list
+	since0  uint64            // the version at which it fell silent
+	hushed  map[int]time.Time // when a dispatcher's watches fell silent, until it opens another
+	hushes  map[int]int       // how often they did
+	frozen  map[int]snapshot  // of dispatchers that are told an old list
 	changed chan struct{}
 }
 
@@ -552,8 +600,9 @@
 	Instances  []listed `json:"instances"`
 }
 
-func newDiscovery(h *history.Recorder, replicas []*replica, zones []string, addr func(*replica, int) string) *discovery {
-	d := &discovery{history: h, addr: addr, zones: zones, entries: map[string]entry{}, version: 1, frozen: map[int]snapshot{}, changed: make(chan struct{})}
+func newDiscovery(h *history.Recorder, replicas []*replica, p *deployment, dispatchers int, addr func(*replica, int) string) *discovery {
+	d := &discovery{history: h, addr: addr, deployment: p, listeners: make([][2]*fault.Listener, dispatchers), entries: map[string]entry{},
+		version: 1, frozen: map[int]snapshot{}, hushed: map[int]time.Time{}, hushes: map[int]int{}, changed: make(chan struct{})}
 	for _, r := range replicas {
 		d.entries[r.name] = entry{replica: r, state: "ready", version: 1}
 	}
@@ -579,10 +628,69 @@
 		}
 		d.version++
 		d.entries[r.name] = entry{r, state, started, d.version}
+		if !d.silent {
+			d.news(d.entries[r.name])
+		}
 		d.wake()
 	})
 }
 
+// lateNews is when what discovery has to tell counts as told, arrived or not, where it has to be asked, and what a
+// silent watch misses, from its falling silent on.
+const lateNews = 6 * time.Second
+
+// news notes when a change counts as told to each dispatcher; mu is held. What an agent has counts at once.
+func (d *discovery) news(e entry) {
+	for i := range d.listeners {
+		if _, stale := d.frozen[i]; stale {
+			continue
+		}
+		if e.state == "ready" { // whoever has not heard of what came before does no wrong from now on
+			d.history.Add(history.Event{Kind: history.Listed, Replica: e.replica.name, Dispatcher: i, Version: e.version})
+			continue
+		}
+		due := time.Duration(0)
+		if at, ok := d.hushed[i]; ok {
+			due = lateNews - time.Since(at)
+		} else if !d.deployment.pushed {
+			due = lateNews
+		}
+		told := history.Event{Kind: history.Told, Replica: e.replica.name, Dispatcher: i, Version: e.version}
+		if due <= 0 {
+			d.history.Add(told)
+			continue
+		}
+		time.AfterFunc(due, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.entries[e.replica.name].version == e.version {
+				d.history.Add(told)
+			}
+		})
+	}
+}
+
+// hush lets the open watches of a dispatcher fall silent.
+func (d *discovery) hush(dispatcher int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hushed[dispatcher] = time.Now()
+	d.hushes[dispatcher]++
+}
+
+// watched notes that a dispatcher opens a watch, and returns what tells whether that has fallen silent since.
+func (d *discovery) watched(dispatcher int) (hushed func() bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.hushed, dispatcher)
+	n := d.hushes[dispatcher]
+	return func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.hushes[dispatcher] > n
+	}
+}
+
 func (d *discovery) setLate(late time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -592,6 +700,15 @@
 func (d *discovery) setSilent(silent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if silent {
+		d.since0 = d.version
+	} else if d.silent {
+		for _, e := range d.entries { // agents get at its return what they missed
+			if e.version > d.since0 {
+				d.news(e)
+			}
+		}
+	}
 	d.silent = silent
 	d.wake()
 }
@@ -621,11 +738,8 @@
 		if !all && e.version <= version || all && e.state == "gone" {
 			continue
 		}
-		at := listed{ID: name, HostPort: d.addr(e.replica, dispatcher), Zone: d.zones[e.replica.zone], MachineType: "prefill",
-			Cell: e.replica.zone, Lifecycle: e.state, Weight: e.replica.weightOnList()}
-		if e.replica.writer {
-			at.MachineType = "decode-a"
-		}
+		at := listed{ID: name, HostPort: d.addr(e.replica, dispatcher), Zone: d.deployment.zone(e.replica.zone),
+			MachineType: d.deployment.kindOf(e.replica), Cell: e.replica.zone, Lifecycle: e.state, Weight: e.replica.weightOnList()}
 		if !e.started.IsZero() {
 			at.StartedAtMS = e.started.UnixMilli()
 		}
@@ -649,7 +763,11 @@
 		}
 		d.history.Add(history.Event{Kind: kind, Replica: in.ID, Dispatcher: dispatcher, Version: l.Generation})
 	}
-	if err := json.NewEncoder(w).Encode(l); err != nil {
+	out := json.NewEncoder(w)
+	if d.deployment.spaced {
+		out.SetIndent("", "  ")
+	}
+	if err := out.Encode(l); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
 	return nil
@@ -670,11 +788,19 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	hushed := func() bool { return false }
+	if watch {
+		hushed = d.watched(dispatcher)
+	}
 	beat := time.NewTicker(2 * time.Second)
 	defer beat.Stop()
 	rc := http.NewResponseController(w)
 	for first := true; ; first = false {
 		l, silent, changed := d.since(version, !watch || first && version == 0, dispatcher)
+		if hushed() {
+			<-r.Context().Done()
+			return
+		}
 		if !silent {
 			if len(l.Instances) > 0 || !watch {
 				if d.tell(w, l, dispatcher) != nil {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, b, c := draw(s, 1), draw(s, 1), draw(s, 2)
+	a, b, c := draw(s, classes, 1), draw(s, classes, 1), draw(s, classes, 2)
 	same := func(x, y *spec) bool {
 		return *x.class == *y.class && x.group == y.group && x.at == y.at && x.prompt == y.prompt
 	}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -39,28 +39,30 @@
 	Stragglers  bool // one that is behind most is restricted and shut out
 	Ends        bool // one whose list is older than others' sends nothing to what theirs has ended
 	Unwatched   bool // and nobody asks them for their views
+	// Deployment draws other settings from this seed; 0: the usual ones.
+	Deployment uint64
 	// Rate is a factor on the scenario's rate; 0 means 1.
 	Rate float64
 }
 
 // Run is one scenario being played.
 type Run struct {
-	scenario  *Scenario
-	options   Options
-	dir       string
-	names     []string
-	zones     []string
-	rules     history.Rules
-	history   *history.Recorder
-	cluster   *cluster
-	discovery *discovery
-	addrs     *addresses
-	links     links
-	procs     []*proc
-	peers     *peers // nil without a fleet
-	front     *front
-	servers   []*http.Server
-	anyone    bool // replicas answer requests that no client of the rig sent, and each dispatcher has a chat front
+	scenario   *Scenario
+	options    Options
+	deployment *deployment
+	dir        string
+	names      []string
+	rules      history.Rules
+	history    *history.Recorder
+	cluster    *cluster
+	discovery  *discovery
+	addrs      *addresses
+	links      links
+	procs      []*proc
+	peers      *peers // nil without a fleet
+	front      *front
+	servers    []*http.Server
+	anyone     bool // replicas answer requests that no client of the rig sent, and each dispatcher has a chat front
 
 	mu     sync.Mutex
 	healed time.Duration // when the last fault so far had ended
@@ -95,11 +97,11 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", a.net, third, fourth, port)
 }
 
-func (a *addresses) listen(d int) string     { return a.at(1, d+1, 9000) }
-func (a *addresses) chat(d int) string       { return a.at(1, d+1, chatPort) }
-func (a *addresses) ops(d int) string        { return a.at(1, d+1, 9600) }
-func (a *addresses) discovery(d int) string  { return a.at(2, d+1, 8500) }
-func (a *addresses) replica(r, d int) string { return a.at(20+r, d+1, 9100) }
+func (a *addresses) listen(d int) string       { return a.at(1, d+1, 9000) }
+func (a *addresses) chat(d int) string         { return a.at(1, d+1, chatPort) }
+func (a *addresses) ops(d int) string          { return a.at(1, d+1, 9600) }
+func (a *addresses) discovery(d, i int) string { return a.at(2, d+1, 8500+i) } // the first, or the one that it moves to
+func (a *addresses) replica(r, d int) string   { return a.at(20+r%200, d+1, 9100+r/200) }
 
 // maxDispatchers is what the addresses have room for.
 const maxDispatchers = 250
@@ -116,14 +118,11 @@
 	}
 	day := *s
 	day.Rate *= cmp.Or(o.Rate, 1)
-	r := &Run{scenario: &day, options: o, history: history.NewRecorder(), dir: o.Dir, anyone: o.Filings || o.OwnFilings,
-		rules: history.Rules{AnswerSlack: 58 * time.Millisecond, DrainWithin: 550 * time.Millisecond, ReleaseAfter: 650 * time.Millisecond,
-			FallMultiple: 2.5, FallSpan: 2 * time.Second, ColdFrom: 0.34, Slack: 150 * time.Millisecond}}
-	for _, c := range classes {
-		if !c.safe {
-			r.rules.Unsafe = append(r.rules.Unsafe, c.name)
-		}
+	r := &Run{scenario: &day, options: o, history: history.NewRecorder(), dir: o.Dir, anyone: o.Filings || o.OwnFilings, deployment: usual(s.Zones)}
+	if o.Deployment != 0 {
+		r.deployment = drawDeployment(s.Zones, o.Deployment)
 	}
+	r.rules = r.deployment.rules(func(name string) *replica { return r.cluster.named(name) })
 	if r.dir == "" {
 		dir, err := os.MkdirTemp("", "fleetrig-")
 		if err != nil {
@@ -152,25 +151,27 @@
 	if r.addrs, err = newAddresses(); err != nil {
 		return err
 	}
-	for z := range r.scenario.Zones {
-		r.zones = append(r.zones, fmt.Sprintf("zone-%c", 'a'+z))
-	}
 	r.cluster = newCluster(r.history, r.rules, r.scenario, r.options.Seed)
 	r.cluster.stranger = r.stranger
-	r.discovery = newDiscovery(r.history, r.cluster.replicas, r.zones, func(p *replica, d int) string { return r.addrs.replica(p.index, d) })
+	r.cluster.deployment = r.deployment
 	n := r.options.Dispatchers
+	r.discovery = newDiscovery(r.history, r.cluster.replicas, r.deployment, n, func(p *replica, d int) string { return r.addrs.replica(p.index, d) })
 	r.procs = make([]*proc, n)
 	seed := r.options.Seed
 	for d := range n {
 		r.names = append(r.names, fmt.Sprintf("n%d", d))
-		r.procs[d] = &proc{run: r, index: d, tries: triesUsual}
+		r.procs[d] = &proc{run: r, index: d, tries: r.deployment.tries}
 		r.links.clients = append(r.links.clients, fault.NewLink(seed+uint64(d)))
 		r.links.discovery = append(r.links.discovery, fault.NewLink(seed+uint64(d)+1000))
-		l, err := fault.Listen(r.addrs.discovery(d), r.links.discovery[d])
-		if err != nil {
-			return fmt.Errorf("rig: discovery: %w", err)
+		for i := range r.discovery.listeners[d] {
+			l, err := fault.Listen(r.addrs.discovery(d, i), r.links.discovery[d])
+			if err != nil {
+				return fmt.Errorf("rig: discovery: %w", err)
+			}
+			l.SetDown(i > 0)
+			r.discovery.listeners[d][i] = l
+			r.servers = append(r.servers, r.discovery.serve(l, d))
 		}
-		r.servers = append(r.servers, r.discovery.serve(l, d))
 		var row []*fault.Link
 		for _, p := range r.cluster.replicas {
 			link := fault.NewLink(seed + uint64(d*1000+p.index))
@@ -252,7 +253,7 @@
 	c := &clients{run: r, idle: map[int][]*conn{}}
 	begin := time.Now()
 	base := r.history.Now()
-	specs := draw(r.scenario, r.options.Seed)
+	specs := draw(r.scenario, r.deployment.classes, r.options.Seed)
 	results := make([]result, len(specs))
 	var faults, asks sync.WaitGroup
 	filer := newFiler(r)
@@ -417,6 +418,13 @@
 	case "term":
 		r.procs[t].term()
 		f.after(ctx, func() { r.procs[t].restart(ctx, f.Forget) })
+	case "move":
+		r.procs[t].move()
+	case "watch-silent":
+		r.discovery.hush(t)
+	case "replica-hang":
+		r.cluster.replicas[t].setHung(true)
+		f.after(ctx, func() { r.cluster.replicas[t].setHung(false) })
 	case "pause":
 		r.procs[t].pause(ctx, seconds(f.For))
 	case "links", "reset":
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -66,6 +66,7 @@
 	"kill":             "dispatchers", // SIGKILL; started again after For
 	"pause":            "dispatchers", // SIGSTOP for For
 	"term":             "dispatchers", // SIGTERM, SIGKILL 3.7 s later; started again For after its end
+	"move":             "dispatchers", // discovery, by SIGHUP, to its other address
 	"retune":           "dispatchers", // other settings by SIGHUP; all have them after For
 	"links":            "dispatchers", // Links are cut, late, lossy or slow, as the other words say
 	"reset":            "dispatchers", // Links' connections are reset
@@ -74,6 +75,8 @@
 	"discovery-silent": "",            // discovery tells nothing, and answers nobody
 	"discovery-late":   "",            // its changes come For late
 	"discovery-stale":  "dispatchers", // theirs tells the list as it was when this began, and no change
+	"watch-silent":     "dispatchers", // the watches that are open stay so and bring nothing more
+	"replica-hang":     "replicas",    // takes calls, and answers none before For has passed
 	"replica-kill":     "replicas",    // started again, cold, after For
 	"replica-slow":     "replicas",    // Factor times slower for For
 	"replica-fail":     "replicas",    // answers Loss of its calls with 500
--- a/internal/rig/traffic.go
+++ b/internal/rig/traffic.go
@@ -22,18 +22,23 @@
 	name     string
 	share    float64 // of the sessions
 	worth    float64
-	safe     bool // may be repeated after any failure
+	effect   string // retryable, dedup or fragile
+	safe     bool   // clients repeat it after any failure
 	aim      time.Duration
 	deadline time.Duration
 	token    time.Duration // the wanted time between tokens
 	prompt   int           // mean tokens,
 	output   int           // also
 	turns    int
+	group    string        // of a dedup class: the servers that drop repeats are all, those of a zone or those of a cell,
+	window   time.Duration // within so long
 }
 
 var classes = []*class{
-	{"parzellen-frage", 0.8, 1, true, 1200 * time.Millisecond, 5 * time.Second, 60 * time.Millisecond, 2600, 60, 3},
-	{"korrektur-meldung", 0.2, 2, false, 3 * time.Second, 15 * time.Second, 80 * time.Millisecond, 4200, 40, 5},
+	{name: "parzellen-frage", share: 0.8, worth: 1, effect: "retryable", safe: true, aim: 1200 * time.Millisecond, deadline: 5 * time.Second,
+		token: 60 * time.Millisecond, prompt: 2600, output: 60, turns: 3},
+	{name: "korrektur-meldung", share: 0.2, worth: 2, effect: "fragile", aim: 3 * time.Second, deadline: 15 * time.Second,
+		token: 80 * time.Millisecond, prompt: 4200, output: 40, turns: 5},
 }
 
 // spec is one first try, drawn ahead.
@@ -65,7 +70,7 @@
 
 // draw is a day's first tries by arrival: sessions begin at random, and their turns come at times of their own, whatever
 // becomes of the turns before.
-func draw(s *Scenario, seed uint64) []*spec {
+func draw(s *Scenario, classes []*class, seed uint64) []*spec {
 	rng := rand.New(rand.NewPCG(seed, 0xda7))
 	var out []*spec
 	turns := 0.0
@@ -73,9 +78,13 @@
 		turns += c.share * float64(c.turns)
 	}
 	for at := -8.0; at < s.Seconds; at += rng.ExpFloat64() / (s.Rate / turns) {
-		c := classes[0]
-		if rng.Float64() >= c.share {
-			c = classes[1]
+		c, pick := classes[0], rng.Float64()
+		for _, next := range classes[1:] {
+			if pick < c.share {
+				break
+			}
+			pick -= c.share
+			c = next
 		}
 		session := strconv.FormatUint(rng.Uint64(), 16)
 		prefix, prefixTokens := "", 0
