--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -35,7 +35,7 @@
 const (
 	everyone       = "all" // all proxies see one list
 	connectTimeout = 250 * time.Millisecond
-	mostStreams    = 100
+	mostStreams    = 1024 // on one connection
 )
 
 type oneNode struct{}
@@ -112,7 +112,7 @@
 		for i, e := range list {
 			if i == 0 || list[i-1].Zone != e.Zone {
 				load.Endpoints = append(load.Endpoints, &endpointv3.LocalityLbEndpoints{
-					Locality:            &corev3.Locality{Zone: s.settings.Zones[e.Zone]},
+					Locality:            &corev3.Locality{Zone: s.settings.ZoneName(e.Zone)},
 					LoadBalancingWeight: wrapperspb.UInt32(1)})
 			}
 			endpoint, err := lbEndpoint(e)
