--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -442,6 +442,6 @@
 	}
 	slices.Sort(outcomes)
 	return fmt.Sprintf("event=counters taken=%d open=%d servers=%d sent=%d probed=%d heard=%d released=%d served=%d broken=%d refused=%d failed=%d "+
-		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Probed, n.Heard, n.Released,
-		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), strings.Join(outcomes, "")+p.fleetCounters())
+		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d goroutines=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Probed, n.Heard, n.Released,
+		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), runtime.NumGoroutine(), strings.Join(outcomes, "")+p.fleetCounters())
 }
--- a/internal/rig/deployment.go
+++ b/internal/rig/deployment.go
@@ -158,7 +158,7 @@
 		telemetry = map[string]any{"fields": []string{"util", "queue", "x0"}, "how": "pull"}
 	}
 	return map[string]any{
-		"az": d % max(len(p.zones), 1), "balancers": cmp.Or(p.fleet, len(r.procs)), "me": d, "zones": p.zones, "classes": table, "parties": parties,
+		"az": d % max(len(p.zones), 1), "balancers": cmp.Or(r.options.Told, p.fleet, len(r.procs)), "me": d, "zones": p.zones, "classes": table, "parties": parties,
 		"kinds": kinds, "discovery": map[bool]string{false: "ask", true: "push"}[p.pushed], "family": "twostage",
 		"familyInfo": map[string]any{"aimUsPer1000PromptTokens": aims, "dutyByKind": duties,
 			"localRead": false, "releaseWithinMs": p.release.Milliseconds(), "tokenAimMs": tokens, "resume": false},
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,6 +42,9 @@
 	meant   bool          // its end is of the rig's making
 	down    time.Duration // since when; 0: it is up
 	since   time.Time     // this life or the last pause's end
+	ready   time.Duration // what this life took to serve
+	fds     int           // the most that were seen, if it was measured,
+	ownMB   float64       // also
 	crashes int
 	counts  map[string]float64 // the last life's counters
 }
@@ -76,6 +80,7 @@
 		p.mu.Unlock()
 		close(ended)
 	}()
+	began := time.Now()
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(readyWait); ; {
 		if resp, err := client.Get("http://" + p.run.addrs.listen(p.index) + "/healthz"); err == nil {
@@ -95,6 +100,9 @@
 			return fmt.Errorf("dispatcher %d did not serve within %v", p.index, readyWait)
 		}
 	}
+	p.mu.Lock()
+	p.ready = time.Since(began)
+	p.mu.Unlock()
 	p.up()
 	return nil
 }
@@ -188,12 +196,17 @@
 	}
 	text, _ := os.ReadFile(filepath.Join(p.run.dir, fmt.Sprintf("n%d.log", p.index)))
 	p.counts = lastCounters(text)
+	for _, line := range counterLine.FindAll(text, -1) {
+		p.counts["goroutines"] = max(p.counts["goroutines"], lastCounters(line)["goroutines"])
+	}
 }
 
 // usage is what a process takes of its machine.
 type usage struct {
 	rssMB float64 // at the most so far
-	fds   int     // now
+	ownMB float64 // without the pages of files, which the kernel can take back; at the end, or the most that was seen
+	fds   int     // at the end, or the most that were seen
+	ready time.Duration
 	cpu   time.Duration
 }
 
@@ -207,8 +220,16 @@
 		kb, _ := strconv.ParseFloat(string(m[1]), 64)
 		u.rssMB = kb / 1024
 	}
+	if m := anonymous.FindSubmatch(status); m != nil {
+		kb, _ := strconv.ParseFloat(string(m[1]), 64)
+		u.ownMB = kb / 1024
+	}
 	fds, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	u.fds = len(fds)
+	p.mu.Lock()
+	p.fds = max(p.fds, len(fds))
+	p.ownMB = max(p.ownMB, u.ownMB)
+	u.fds, u.ownMB, u.ready = p.fds, p.ownMB, p.ready
+	p.mu.Unlock()
 	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if _, rest, ok := strings.Cut(string(stat), ") "); ok {
 		if f := strings.Fields(rest); len(f) > 12 { // utime and stime, in hundredths of a second
@@ -220,8 +241,17 @@
 	return u
 }
 
+// measure looks at a process until the context ends, and lets it print its counters.
+func (p *proc) measure(ctx context.Context) {
+	for sleep(ctx, 500*time.Millisecond) == nil {
+		p.usage()
+		p.signal(syscall.SIGUSR1, false, false)
+	}
+}
+
 var (
 	highWater   = regexp.MustCompile(`(?m)^VmHWM:\s+(\d+) kB`)
+	anonymous   = regexp.MustCompile(`(?m)^RssAnon:\s+(\d+) kB`)
 	counterLine = regexp.MustCompile(`(?m)^event=counters .*$`)
 	counter     = regexp.MustCompile(`(\w+)=([0-9.]+)`)
 )
@@ -282,7 +312,7 @@
 	p.config, err = r.write(fmt.Sprintf("n%d.json", p.index), map[string]any{
 		"name": r.names[p.index], "listen": r.addrs.listen(p.index), "discovery": r.addrs.discovery(p.index, p.moves%2), "ops": r.addrs.ops(p.index),
 		"seed":   fmt.Sprintf("%016x", r.options.Seed*1000+uint64(p.index)+1),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(r.options.MemoryMB, 192), "sockets": cmp.Or(r.options.Sockets, 1024)},
 		"known":  r.discovery.known(p.index), "settings": r.settings(p.index),
 	})
 	return err
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -50,7 +50,10 @@
 	// What the dispatchers that ran at the end took: the most of any in MB and descriptors, the mean share of a core, and
 	// what a member sent to others in bytes a second, with the answers that it got.
 	RSSMB     float64 `json:"rss_mb_most"`
+	OwnMB     float64 `json:"own_mb_most"`
 	FDs       int     `json:"fds_most"`
+	ReadyS    float64 `json:"ready_s_most"`
+	Routines  float64 `json:"goroutines_most"`
 	Core      float64 `json:"core_mean"`
 	PeerBytes float64 `json:"peer_bytes_s"`
 	Sums
@@ -164,9 +167,13 @@
 // use takes in what the processes took over so long.
 func (r *Report) use(used []usage, run *Run, over time.Duration) {
 	for _, u := range used {
-		r.RSSMB, r.FDs = max(r.RSSMB, u.rssMB), max(r.FDs, u.fds)
+		r.RSSMB, r.OwnMB, r.FDs = max(r.RSSMB, u.rssMB), max(r.OwnMB, u.ownMB), max(r.FDs, u.fds)
+		r.ReadyS = max(r.ReadyS, u.ready.Seconds())
 		r.Core += u.cpu.Seconds() / over.Seconds() / float64(len(used))
 	}
+	for _, p := range run.procs {
+		r.Routines = max(r.Routines, p.counts["goroutines"])
+	}
 	if run.peers != nil {
 		bytes := int64(0)
 		for _, relay := range run.peers.relays {
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -41,6 +41,12 @@
 	Unwatched   bool // and nobody asks them for their views
 	// Deployment draws other settings from this seed; 0: the usual ones.
 	Deployment uint64
+	// MemoryMB and Sockets are a dispatcher's limits; 0: 192 and 1,024.
+	MemoryMB, Sockets int
+	// Told is how many dispatchers the settings tell of; 0: as many as there are, or as the deployment has.
+	Told int
+	// Measure looks at what the processes take every half a second, not only at the end.
+	Measure bool
 	// Rate is a factor on the scenario's rate; 0 means 1.
 	Rate float64
 }
@@ -250,6 +256,11 @@
 	if r.options.Budgets {
 		watchers.Go(func() { r.watchShares(watching, &shared) })
 	}
+	if r.options.Measure {
+		for _, p := range r.procs {
+			watchers.Go(func() { p.measure(watching) })
+		}
+	}
 	c := &clients{run: r, idle: map[int][]*conn{}}
 	begin := time.Now()
 	base := r.history.Now()
