Leave a known server as it was where a whole list's entry of it makes no sense

A whole list with an entry that could not be read dropped that server, since it was not among the readable ones. Change: the watcher keeps what it has handed on, and such a server is handed on as it was. One that the list does not name is gone as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -61,6 +61,7 @@
 	client   *http.Client
 	backoff  *backoff // only Run uses it
 	quiet    time.Duration
+	known    map[string]core.Listing // by name, as it was handed on; only who calls Apply uses it
 	version  atomic.Uint64
 	stale    atomic.Bool // no list is held, or a change may be missing from it
 	bad      atomic.Int64
@@ -74,7 +75,7 @@
 
 // New returns a Watcher that hands every list to apply. The seed draws the pauses between its attempts.
 func New(addr string, settings *wire.Settings, seed uint64, apply func(bool, []core.Listing)) *Watcher {
-	w := &Watcher{addr: addr, moved: make(chan struct{}), confirmed: make(chan struct{}), settings: settings, apply: apply, quiet: quietAsked,
+	w := &Watcher{addr: addr, moved: make(chan struct{}), confirmed: make(chan struct{}), known: map[string]core.Listing{}, settings: settings, apply: apply, quiet: quietAsked,
 		backoff: newBackoff(seed, func() float64 { return float64(settings.Balancers) }),
 		client: &http.Client{
 			Transport: &http.Transport{
@@ -140,13 +141,20 @@
 			bad++
 			w.bad.Add(1)
 			slog.Warn("bad_entry", "err", err)
-			if e.Name == "" || e.State == decide.Ready {
+			if e.Name == "" {
+				continue
+			}
+			if e.State != decide.Ready {
+				e.State = decide.Gone // it is leaving: that binds, whatever else is wrong with the entry
+			} else if known, ok := w.known[e.Name]; ok {
+				e = known // it stays as it was, also in a whole list
+			} else {
 				continue
 			}
-			e.State = decide.Gone // it is leaving: that binds, whatever else is wrong with the entry
 		}
 		out = append(out, e)
 	}
+	core.Apply(w.known, full, out)
 	w.version.Store(l.Generation) // before it is handed on: who takes it may ask which it is
 	w.apply(full, out)
 	// A whole list without a replica is none to go on from: a watch that starts at its version may never say more.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -162,6 +162,25 @@
 	}
 }
 
+// A whole list in which a server's entry makes no sense leaves that server as it was known; one that it does not name is gone.
+func TestKnownStaysBesideABadEntry(t *testing.T) {
+	var got []core.Listing
+	w := discovery.New("", testkit.Settings(t), 1, func(_ bool, e []core.Listing) { got = e })
+	raw := func(texts ...string) (out []json.RawMessage) {
+		for _, text := range texts {
+			out = append(out, json.RawMessage(text))
+		}
+		return out
+	}
+	w.Apply(discovery.List{Instances: raw(entry("s1", "ready"), entry("s2", "ready"), entry("s3", "ready"))}, true)
+	w.Apply(discovery.List{Instances: raw(entry("s3", "draining"))}, false)
+	bad := func(id string) string { return strings.Replace(entry(id, "ready"), "wien", "linz", 1) }
+	w.Apply(discovery.List{Instances: raw(bad("s1"), bad("s3"), bad("s4"))}, true)
+	if len(got) != 2 || got[0].Name != "s1" || got[0].State != decide.Ready || got[0].Zone != 0 || got[1].Name != "s3" || got[1].State != decide.Draining {
+		t.Errorf("taken: %+v", got)
+	}
+}
+
 func FuzzList(f *testing.F) {
 	for _, text := range testkit.Broken(3, list(7, false, entry("s1", "ready"), entry("s2", "gone"))) {
 		f.Add(text)
