--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,7 +22,7 @@
 
 const (
 	readyWait  = 20 * time.Second
-	triesUsual = 4                       // that a dispatcher's settings allow
+	triesUsual = 4                       // that a dispatcher's settings allow in the usual deployment
 	triesOther = 3                       // after they were changed
 	killAfter  = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline counts as 3 s, and 0.7 s more
 )
@@ -33,6 +34,7 @@
 	config string   // path
 	args   []string // of every life
 	tries  int      // how many its settings allow
+	moves  int      // of discovery, which has two addresses
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -40,6 +42,9 @@
 	meant   bool          // its end is of the rig's making
 	down    time.Duration // since when; 0: it is up
 	since   time.Time     // this life or the last pause's end
+	ready   time.Duration // what this life took to serve
+	fds     int           // the most that were seen, if it was measured,
+	ownMB   float64       // also
 	crashes int
 	counts  map[string]float64 // the last life's counters
 }
@@ -75,6 +80,7 @@
 		p.mu.Unlock()
 		close(ended)
 	}()
+	began := time.Now()
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(readyWait); ; {
 		if resp, err := client.Get("http://" + p.run.addrs.listen(p.index) + "/healthz"); err == nil {
@@ -94,6 +100,9 @@
 			return fmt.Errorf("dispatcher %d did not serve within %v", p.index, readyWait)
 		}
 	}
+	p.mu.Lock()
+	p.ready = time.Since(began)
+	p.mu.Unlock()
 	p.up()
 	return nil
 }
@@ -187,12 +196,17 @@
 	}
 	text, _ := os.ReadFile(filepath.Join(p.run.dir, fmt.Sprintf("n%d.log", p.index)))
 	p.counts = lastCounters(text)
+	for _, line := range counterLine.FindAll(text, -1) {
+		p.counts["goroutines"] = max(p.counts["goroutines"], lastCounters(line)["goroutines"])
+	}
 }
 
 // usage is what a process takes of its machine.
 type usage struct {
 	rssMB float64 // at the most so far
-	fds   int     // now
+	ownMB float64 // without the pages of files, which the kernel can take back; at the end, or the most that was seen
+	fds   int     // at the end, or the most that were seen
+	ready time.Duration
 	cpu   time.Duration
 }
 
@@ -206,8 +220,16 @@
 		kb, _ := strconv.ParseFloat(string(m[1]), 64)
 		u.rssMB = kb / 1024
 	}
+	if m := anonymous.FindSubmatch(status); m != nil {
+		kb, _ := strconv.ParseFloat(string(m[1]), 64)
+		u.ownMB = kb / 1024
+	}
 	fds, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	u.fds = len(fds)
+	p.mu.Lock()
+	p.fds = max(p.fds, len(fds))
+	p.ownMB = max(p.ownMB, u.ownMB)
+	u.fds, u.ownMB, u.ready = p.fds, p.ownMB, p.ready
+	p.mu.Unlock()
 	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if _, rest, ok := strings.Cut(string(stat), ") "); ok {
 		if f := strings.Fields(rest); len(f) > 12 { // utime and stime, in hundredths of a second
@@ -219,8 +241,17 @@
 	return u
 }
 
+// measure looks at a process until the context ends, and lets it print its counters.
+func (p *proc) measure(ctx context.Context) {
+	for sleep(ctx, 500*time.Millisecond) == nil {
+		p.usage()
+		p.signal(syscall.SIGUSR1, false, false)
+	}
+}
+
 var (
 	highWater   = regexp.MustCompile(`(?m)^VmHWM:\s+(\d+) kB`)
+	anonymous   = regexp.MustCompile(`(?m)^RssAnon:\s+(\d+) kB`)
 	counterLine = regexp.MustCompile(`(?m)^event=counters .*$`)
 	counter     = regexp.MustCompile(`(\w+)=([0-9.]+)`)
 )
@@ -240,33 +271,6 @@
 	return out
 }
 
-// settings is the platform's object for a dispatcher of a rig: the deployment's classes on the rig's replicas.
-func (r *Run) settings(d int) map[string]any {
-	var table []map[string]any
-	var aims, tokens []float64
-	for _, c := range classes {
-		effect := "fragile"
-		if c.safe {
-			effect = "retryable"
-		}
-		table = append(table, map[string]any{"name": c.name, "effect": effect, "group": "all", "importance": c.worth,
-			"promiseMs": c.aim.Milliseconds(), "hardLimitMs": c.deadline.Milliseconds(), "lateWorth": 0.1, "streaming": true, "windowMs": 5000})
-		aims = append(aims, 40_000)
-		tokens = append(tokens, float64(c.token.Milliseconds()))
-	}
-	return map[string]any{
-		"az": d % r.scenario.Zones, "balancers": len(r.procs), "me": d, "zones": r.zones, "classes": table,
-		"kinds": []string{"prefill", "decode-a"}, "discovery": "push", "family": "twostage",
-		"familyInfo": map[string]any{"aimUsPer1000PromptTokens": aims, "dutyByKind": []string{"read", "write"},
-			"localRead": false, "releaseWithinMs": 300, "tokenAimMs": tokens, "resume": false},
-		"limits": map[string]any{"cancelling": true, "connIdleMs": 15000, "connectTimeoutMs": 250, "maxRetryAfterMs": 500,
-			"mostHeld": 20000, "mostTries": r.procs[d].tries, "probing": true, "retryAfter": true, "secondCopies": true},
-		"rules": map[string]any{"answerSlackMs": 8, "coldFrom": r.rules.ColdFrom, "coldMs": warmAfter.Milliseconds(),
-			"fallMultiple": r.rules.FallMultiple, "stopSendingWithinMs": 500, "tipAfterMs": r.rules.FallSpan.Milliseconds()},
-		"telemetry": map[string]any{"fields": []string{"util", "queue", "x0"}, "how": "pull"},
-	}
-}
-
 // write writes one of the run's files as JSON and returns its path.
 func (r *Run) write(name string, value any) (string, error) {
 	text, err := json.MarshalIndent(value, "", " ")
@@ -290,12 +294,25 @@
 	p.signal(syscall.SIGHUP, false, false)
 }
 
+// move takes discovery to its other address: the one that was takes no new calls.
+func (p *proc) move() {
+	r := p.run
+	p.moves++
+	r.discovery.listeners[p.index][p.moves%2].SetDown(false)
+	if err := p.writeConfig(); err != nil {
+		r.options.Log.Warn("move", "err", err)
+		return
+	}
+	r.discovery.listeners[p.index][1-p.moves%2].SetDown(true)
+	p.signal(syscall.SIGHUP, false, false)
+}
+
 func (p *proc) writeConfig() (err error) {
 	r := p.run
 	p.config, err = r.write(fmt.Sprintf("n%d.json", p.index), map[string]any{
-		"name": r.names[p.index], "listen": r.addrs.listen(p.index), "discovery": r.addrs.discovery(p.index), "ops": r.addrs.ops(p.index),
+		"name": r.names[p.index], "listen": r.addrs.listen(p.index), "discovery": r.addrs.discovery(p.index, p.moves%2), "ops": r.addrs.ops(p.index),
 		"seed":   fmt.Sprintf("%016x", r.options.Seed*1000+uint64(p.index)+1),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(r.options.MemoryMB, 192), "sockets": cmp.Or(r.options.Sockets, 1024)},
 		"known":  r.discovery.known(p.index), "settings": r.settings(p.index),
 	})
 	return err
