Give a connection up in time for another writer where it may take longer than a state is held

Cause: servers.New took half of connectTimeoutMs, whatever releaseWithinMs is. Change: at most half of that too.

--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -49,12 +49,15 @@
 // New returns a Pool that holds at most conns connections to any one replica, and idle ones in all. A call
 // that had to wait for a connection would run late unseen, so conns is no bound for ordinary days.
 func New(settings *wire.Settings, conns, idleConns int) *Pool {
-	// The time for which a state is held runs on while connections fail to come up. Half the settings'
-	// figure leaves room for a second and a third writer before the state must be let go.
+	// The time for which a state is held runs on while connections fail to come up. Half the settings' figure,
+	// and half of that time, leave room for a second and a third writer before the state must be let go.
 	dial := wire.FromMS(settings.Limits.ConnectTimeoutMs) / 2
 	if dial <= 0 {
 		dial = 125 * time.Millisecond
 	}
+	if held := wire.FromMS(settings.FamilyInfo.ReleaseWithinMs); held > 0 {
+		dial = min(dial, held/2)
+	}
 	idle := wire.FromMS(settings.Limits.ConnIdleMs)
 	if idle <= 0 {
 		idle = 10 * time.Second
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"rampspread/decide"
 	"rampspread/internal/core"
 	"rampspread/internal/servers"
@@ -177,6 +179,41 @@
 	}
 }
 
+// While connections fail to come up the time for which a state is held runs on: they are given up soon enough for another
+// writer even where the settings let a connection take far longer than that time.
+func TestDialEndsInTimeForAnother(t *testing.T) {
+	full, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0) // a queue without room: connections never come up
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(full)
+	if err := errors.Join(unix.Bind(full, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(full, 0)); err != nil {
+		t.Fatal(err)
+	}
+	at, err := unix.Getsockname(full)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond); err == nil {
+			defer c.Close()
+		}
+	}
+	settings := testkit.Settings(t)
+	settings.Limits.ConnectTimeoutMs, settings.FamilyInfo.ReleaseWithinMs = 60_000, 200
+	pool, ev := servers.New(settings, 8, 8), newEvents()
+	defer pool.Close()
+	from := time.Now()
+	pool.Send(call, core.Target{Name: "s", Addr: addr}, 2*time.Minute, ev)
+	if o := <-ev.ended; o.Outcome != decide.ConnectFailed {
+		t.Errorf("outcome %d", o.Outcome)
+	}
+	if took := time.Since(from); took > 10*time.Second { // half of what the connection may take is 30 s
+		t.Errorf("given up after %v, with a state held for 200 ms", took)
+	}
+}
+
 // An attempt that still waits for a connection when its server begins to drain must not be written to it: a send
 // counts from its first byte. One whose first byte is out goes on.
 func TestWithdraw(t *testing.T) {
