Let a connection settle for 20 ms before its next call: a second answer may come late

One that came while the connection stood idle, or before the next call's first byte, was told apart; one that came 1 or 5 ms later, with the next call written, was read as that call's answer. A late "503, never ran" makes a filing be sent twice.

Change: a connection that was used within 20 ms is waited for (servers.usable), so that what is late shows before the next call.

--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// settleFor is how long a connection may take to be ready for its next request. What is read after an answer
-// is read by a goroutine of the Transport's, which runs at once unless the machine is busy.
+// settleFor is how long a connection stands idle before its next request, and may then take to be ready for it. Bytes
+// behind an answer may come some milliseconds late (the full fleet's page); what is read after an answer is read by a
+// goroutine of the Transport's, which runs at once unless the machine is busy.
 const settleFor = 20 * time.Millisecond
 
 var (
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -303,7 +303,13 @@
 		return false // no connection of this pool's
 	}
 	c.use(begin)
-	return !info.Reused || c.take()
+	if !info.Reused {
+		return true
+	}
+	if left := settleFor - info.IdleTime; left > 0 {
+		time.Sleep(left) // what comes behind an answer may come some milliseconds late, and must come before the next call
+	}
+	return c.take()
 }
 
 // spent tells whether the call was to go over a used connection that turned out to be closed, before the last
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -179,6 +179,40 @@
 	}
 }
 
+// A second answer that comes some milliseconds behind the first is never taken for the answer to the next call on that
+// connection, which here would be sent again though it runs.
+func TestLateSecondAnswer(t *testing.T) {
+	for _, late := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
+		const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+		r := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+			if n > 0 {
+				testkit.Read(w, r, n)
+				return
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			io.WriteString(conn, refusal)
+			time.Sleep(late)
+			io.WriteString(conn, refusal)
+			io.Copy(io.Discard, conn) // it runs what comes next, and says nothing yet
+			conn.Close()
+		})
+		pool := servers.New(testkit.Settings(t), 8, 8)
+		to := core.Target{Name: "s", Addr: r.Addr}
+		for n, want := range []decide.Outcome{decide.Full, decide.ReadDone} {
+			ev := newEvents()
+			pool.Send(call, to, 5*time.Second, ev)
+			if o := <-ev.ended; o.Outcome != want {
+				t.Errorf("%v late: call %d ended with %d, want %d", late, n, o.Outcome, want)
+			}
+		}
+		pool.Close()
+	}
+}
+
 // While connections fail to come up the time for which a state is held runs on: they are given up soon enough for another
 // writer even where the settings let a connection take far longer than that time.
 func TestDialEndsInTimeForAnother(t *testing.T) {
