Keep the newest list on the disk, where a folder for state is given

Change: internal/state/newest saves the list after each change, in a goroutine of its own, at most five times a second, synced before its name; the start takes it if it is this process's, of the same discovery, newer than the configuration's and at most an hour old, by the machine's own clock within one boot and by the wall clock else. What is torn, flipped, from the future or another's is refused with one line. The file's way of being whole is shared with the handover (internal/state/whole). Off under run, which has no disk.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -180,6 +179,10 @@
 		p.lists = lists.New(publish, listOf{p}.Version, time.Now)
 		publish = p.lists.Roster
 	}
+	kept := p.keepList(files)
+	if kept != nil {
+		publish = also(publish, andKeep(kept))
+	}
 	p.watch = discovery.New(cfg.Discovery, &cfg.Settings, seed, publish)
 	p.watch.Fleet(p.alike(files.fleet, cfg))
 	if p.claims, err = p.ledger(files, time.Now()); err != nil {
@@ -192,12 +195,15 @@
 	defer p.pool.Close()
 	defer stop()
 	tasks.Go(func() { p.core.Run(running) })
-	if len(cfg.Known) > 0 {
-		var known discovery.List
-		if err := json.Unmarshal(cfg.Known, &known); err != nil {
-			return fmt.Errorf("config: known: %w", err)
-		}
-		p.watch.Known(known)
+	first, err := p.firstList(files)
+	if err != nil {
+		return err
+	}
+	if len(first.Instances) > 0 {
+		p.watch.Known(first)
+	}
+	if kept != nil {
+		tasks.Go(func() { kept.Run(running) })
 	}
 	tasks.Go(func() { p.watch.Run(running) })
 	if p.keeper != nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -61,7 +62,8 @@
 	client   *http.Client
 	backoff  *backoff // only Run uses it
 	quiet    time.Duration
-	known    map[string]core.Listing // by name, as it was handed on; only who calls Apply uses it
+	held     sync.Mutex
+	known    map[string]core.Listing // by name, as it was handed on
 	version  atomic.Uint64
 	stale    atomic.Bool // no list is held, or a change may be missing from it
 	bad      atomic.Int64
@@ -108,6 +110,12 @@
 	w.client.CloseIdleConnections()
 }
 
+// Address is where discovery is now.
+func (w *Watcher) Address() string {
+	addr, _ := w.place()
+	return addr
+}
+
 // place is where discovery is now, and a channel that is closed when it moves.
 func (w *Watcher) place() (addr string, moved <-chan struct{}) {
 	w.mu.Lock()
@@ -135,6 +143,7 @@
 // counted and skipped. The watch goes on after it.
 func (w *Watcher) Apply(l List, full bool) (whole bool) {
 	out, bad := make([]core.Listing, 0, len(l.Instances)), 0
+	w.held.Lock()
 	for _, raw := range l.Instances {
 		e, err := w.entry(raw)
 		if err != nil {
@@ -156,6 +165,7 @@
 	}
 	core.Apply(w.known, full, out)
 	w.version.Store(l.Generation) // before it is handed on: who takes it may ask which it is
+	w.held.Unlock()
 	w.apply(full, out)
 	// A whole list without a replica is none to go on from: a watch that starts at its version may never say more.
 	w.stale.Store(bad > 0 || full && len(out) == 0 || !full && w.stale.Load())
@@ -304,6 +314,28 @@
 	return l.Generation, err
 }
 
+// Held is the whole list as it was handed on, in discovery's form.
+func (w *Watcher) Held() (List, error) {
+	w.held.Lock()
+	defer w.held.Unlock()
+	l := List{Generation: w.version.Load(), Reset: true, Instances: []json.RawMessage{}}
+	words := map[decide.ServerState]string{decide.Ready: "ready", decide.Draining: "draining"}
+	for _, name := range slices.Sorted(maps.Keys(w.known)) {
+		e := w.known[name]
+		in := Instance{ID: e.Name, HostPort: e.Addr, Zone: w.settings.ZoneName(e.Zone), MachineType: w.settings.Kinds[e.Kind], Cell: e.Cell,
+			Lifecycle: words[e.State], Weight: e.Weight}
+		if !e.Started.IsZero() {
+			in.StartedAtMS = float64(e.Started.UnixMicro()) / 1000
+		}
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return l, fmt.Errorf("discovery: %w", err)
+		}
+		l.Instances = append(l.Instances, raw)
+	}
+	return l, nil
+}
+
 // Confirmed is closed once discovery itself has told its list: the one that a process starts with may be old.
 func (w *Watcher) Confirmed() <-chan struct{} { return w.confirmed }
 
--- /dev/null
+++ b/internal/rig/newest_test.go
@@ -0,0 +1,35 @@
+package rig
+
+import (
+	"context"
+	"testing"
+
+	"rampspread/internal/rig/history"
+)
+
+// A dispatcher that is killed and starts again while discovery is silent knows from the disk which servers were leaving; its
+// configuration's list is older. Without a folder it sends to them, which shows that the day can tell.
+func TestNewestListOutlivesTheProcess(t *testing.T) {
+	day := &Scenario{Name: "silent-restart", Seconds: 13, Rate: 14, Zones: 2, Readers: 5, Writers: 5, Faults: []Fault{
+		{At: 2, Do: "replica-drain", Part: 0.3, For: 10}, {At: 4, Do: "discovery-silent", For: 6}, {At: 5, Do: "kill", Part: 1, For: 0.3}}}
+	for name, state := range map[string]bool{"with a folder": true, "without": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, err := Play(context.Background(), day, Options{Program: program, Dispatchers: 3, Seed: 4, State: state, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			sent := 0
+			for _, b := range r.breaches {
+				if b.Rule == history.Drains {
+					sent++
+				} else {
+					t.Error(b)
+				}
+			}
+			if r.Crashes > 0 || r.ByStatus["served"] == 0 || (sent == 0) != state {
+				t.Errorf("%d sends to servers that were leaving, %d crashes, %v", sent, r.Crashes, r.ByStatus)
+			}
+		})
+	}
+}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -332,6 +332,9 @@
 		}
 		p.args = append(p.args, "-fleet", file)
 	}
+	if r.options.State && !r.options.Filings {
+		p.args = append(p.args, "-state", r.stateDir(p.index))
+	}
 	if r.options.Filings {
 		if err := stored.Init(r.stateDir(p.index), stored.Identity{Fleet: "rig", Name: r.names[p.index]}); err != nil {
 			return fmt.Errorf("dispatcher %d: %w", p.index, err)
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -41,6 +41,8 @@
 	Unwatched   bool // and nobody asks them for their views
 	// Deployment draws other settings from this seed; 0: the usual ones.
 	Deployment uint64
+	// State gives each dispatcher a folder that outlives its process.
+	State bool
 	// MemoryMB and Sockets are a dispatcher's limits; 0: 192 and 1,024.
 	MemoryMB, Sockets int
 	// Told is how many dispatchers the settings tell of; 0: as many as there are, or as the deployment has.
--- a/internal/state/handover/handover.go
+++ b/internal/state/handover/handover.go
@@ -6,11 +6,9 @@
 import (
 	"bytes"
 	"context"
-	"encoding/binary"
 	"encoding/gob"
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
 	"log/slog"
 	"os"
@@ -18,9 +16,8 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"rampspread/decide"
+	"rampspread/internal/state/whole"
 )
 
 const (
@@ -66,24 +63,23 @@
 // Encode packs beliefs, with a checksum behind them.
 func (p Place) Encode(b decide.Beliefs) ([]byte, error) {
 	var out bytes.Buffer
-	out.WriteString(magic)
 	e := gob.NewEncoder(&out)
 	if err := errors.Join(e.Encode(head{p.Name, p.Settings}), e.Encode(b)); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	return binary.BigEndian.AppendUint64(out.Bytes(), xxhash.Sum64(out.Bytes())), nil
+	return whole.Seal(magic, out.Bytes()), nil
 }
 
 // Decode reads what Encode packed; ErrVoid: it is of no use here.
 func (p Place) Decode(text []byte) (b decide.Beliefs, err error) {
-	if len(text) > Most || len(text) < len(magic)+8 || !bytes.HasPrefix(text, []byte(magic)) {
-		return b, fmt.Errorf("%w: no such file of this format", ErrVoid)
+	if len(text) > Most {
+		return b, fmt.Errorf("%w: over %d bytes", ErrVoid, Most)
 	}
-	body, sum := text[:len(text)-8], binary.BigEndian.Uint64(text[len(text)-8:])
-	if xxhash.Sum64(body) != sum {
-		return b, fmt.Errorf("%w: its checksum is off", ErrVoid)
+	body, err := whole.Open(magic, text)
+	if err != nil {
+		return b, fmt.Errorf("%w: %w", ErrVoid, err)
 	}
-	d := gob.NewDecoder(bytes.NewReader(body[len(magic):]))
+	d := gob.NewDecoder(bytes.NewReader(body))
 	var h head
 	if err := d.Decode(&h); err != nil {
 		return b, fmt.Errorf("%w: %w", ErrVoid, err)
@@ -106,16 +102,7 @@
 	if len(text) > Most {
 		return fmt.Errorf("handover: %d bytes, at most %d", len(text), Most)
 	}
-	aside, err := os.CreateTemp(p.Dir, "rampspread-aside-*")
-	if err != nil {
-		return fmt.Errorf("handover: %w", err)
-	}
-	_, err = aside.Write(text)
-	if err = errors.Join(err, aside.Close()); err == nil {
-		err = os.Rename(aside.Name(), p.file(".beliefs"))
-	}
-	if err != nil {
-		os.Remove(aside.Name())
+	if err := whole.Replace(p.file(".beliefs"), text, false); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
@@ -123,13 +110,11 @@
 
 // Find reads what was left; fs.ErrNotExist: nothing was.
 func (p Place) Find() (decide.Beliefs, error) {
-	f, err := os.Open(p.file(".beliefs"))
-	if err != nil {
-		return decide.Beliefs{}, fmt.Errorf("handover: %w", err)
-	}
-	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, Most+1))
-	if err != nil {
+	text, err := whole.Read(p.file(".beliefs"), Most)
+	switch {
+	case errors.Is(err, whole.ErrSpoilt):
+		return decide.Beliefs{}, fmt.Errorf("%w: %w", ErrVoid, err)
+	case err != nil:
 		return decide.Beliefs{}, fmt.Errorf("handover: %w", err)
 	}
 	return p.Decode(text)
