--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"rampspread/decide"
 	"rampspread/internal/core"
 	"rampspread/internal/servers"
@@ -177,6 +179,75 @@
 	}
 }
 
+// A second answer that comes some milliseconds behind the first is never taken for the answer to the next call on that
+// connection, which here would be sent again though it runs.
+func TestLateSecondAnswer(t *testing.T) {
+	for _, late := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
+		const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+		r := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+			if n > 0 {
+				testkit.Read(w, r, n)
+				return
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			io.WriteString(conn, refusal)
+			time.Sleep(late)
+			io.WriteString(conn, refusal)
+			io.Copy(io.Discard, conn) // it runs what comes next, and says nothing yet
+			conn.Close()
+		})
+		pool := servers.New(testkit.Settings(t), 8, 8)
+		to := core.Target{Name: "s", Addr: r.Addr}
+		for n, want := range []decide.Outcome{decide.Full, decide.ReadDone} {
+			ev := newEvents()
+			pool.Send(call, to, 5*time.Second, ev)
+			if o := <-ev.ended; o.Outcome != want {
+				t.Errorf("%v late: call %d ended with %d, want %d", late, n, o.Outcome, want)
+			}
+		}
+		pool.Close()
+	}
+}
+
+// While connections fail to come up the time for which a state is held runs on: they are given up soon enough for another
+// writer even where the settings let a connection take far longer than that time.
+func TestDialEndsInTimeForAnother(t *testing.T) {
+	full, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0) // a queue without room: connections never come up
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(full)
+	if err := errors.Join(unix.Bind(full, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(full, 0)); err != nil {
+		t.Fatal(err)
+	}
+	at, err := unix.Getsockname(full)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond); err == nil {
+			defer c.Close()
+		}
+	}
+	settings := testkit.Settings(t)
+	settings.Limits.ConnectTimeoutMs, settings.FamilyInfo.ReleaseWithinMs = 60_000, 200
+	pool, ev := servers.New(settings, 8, 8), newEvents()
+	defer pool.Close()
+	from := time.Now()
+	pool.Send(call, core.Target{Name: "s", Addr: addr}, 2*time.Minute, ev)
+	if o := <-ev.ended; o.Outcome != decide.ConnectFailed {
+		t.Errorf("outcome %d", o.Outcome)
+	}
+	if took := time.Since(from); took > 10*time.Second { // half of what the connection may take is 30 s
+		t.Errorf("given up after %v, with a state held for 200 ms", took)
+	}
+}
+
 // An attempt that still waits for a connection when its server begins to drain must not be written to it: a send
 // counts from its first byte. One whose first byte is out goes on.
 func TestWithdraw(t *testing.T) {
