--- /dev/null
+++ b/internal/rig/starts_test.go
@@ -0,0 +1,45 @@
+package rig
+
+import (
+	"context"
+	"testing"
+)
+
+// Starts at bad moments: killed again while starting, while a zone is cut off, while discovery is silent and then behind. No rule
+// breaks, nothing crashes, and requests are served again at the end. RAMPSPREAD_DEPLOYMENTS says how many seeds are played; one in CI.
+func TestStartsAtBadMoments(t *testing.T) {
+	for _, name := range []string{"kill-twice", "restart-in-cut", "late-discovery"} {
+		for _, seed := range seeds(t, 1) {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				day, err := Load(name)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r, err := Play(context.Background(), day, Options{Program: program, Dispatchers: 3, Seed: seed, Dir: t.TempDir()})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, b := range r.breaches {
+					t.Errorf("seed %d: %s", seed, b)
+				}
+				last := 0.0
+				for _, share := range r.PerSecond[len(r.PerSecond)-4:] {
+					last += share / 4
+				}
+				t.Logf("seed %d: served %.3f, worst 10 s %.3f, recovery %.1f s, %.1f times the calm handshakes, %v", seed, r.Served, r.Worst10S, deref(r.RecoveryS), r.Rush, r.ByStatus)
+				if r.Crashes > 0 || last < 0.3 {
+					t.Errorf("seed %d: %d crashes, %.2f served in the last 4 s", seed, r.Crashes, last)
+				}
+			})
+		}
+	}
+}
+
+// deref is a figure that may not have been reached; -1 then.
+func deref(x *float64) float64 {
+	if x == nil {
+		return -1
+	}
+	return *x
+}
