Keep a bound on lease numbers on the disk, so that they grow when all members are killed

Path not taken: each grant synced before it is given, as votes in Raft are; voters hold their peace for a term after a start already, and only the order of numbers was missing.

--- a/cmd/rampspread/fleet.go
+++ b/cmd/rampspread/fleet.go
@@ -191,10 +191,14 @@
 	if p.lists != nil {
 		ends = p.lists
 	}
-	node, err := fleet.Start(file, fleet.Self{Name: cfg.Name, Zone: zone, Version: version, Seed: seed, Work: p.tasks, Shared: p.core, Claims: take, Ends: ends, Stands: stands{p},
+	self := fleet.Self{Name: cfg.Name, Zone: zone, Version: version, Seed: seed, Work: p.tasks, Shared: p.core, Claims: take, Ends: ends, Stands: stands{p},
 		Knows: peers{p, file.Fleet}, Facts: func() fleet.Facts {
 			return fleet.Facts{Settings: p.settings.Load(), List: p.watch.Version(), Serving: p.ready.Load() && !p.state.Stopping.Load()}
-		}}, func(err error) { failed <- err })
+		}}
+	if p.numbers != nil {
+		self.Floor, self.Seen = p.numbers.Floor(), p.numbers.Seen
+	}
+	node, err := fleet.Start(file, self, func(err error) { failed <- err })
 	if err != nil {
 		return err
 	}
--- a/cmd/rampspread/newest.go
+++ b/cmd/rampspread/newest.go
@@ -10,14 +10,15 @@
 	"rampspread/internal/core"
 	"rampspread/internal/discovery"
 	"rampspread/internal/state/newest"
+	"rampspread/internal/state/whole"
 )
 
 // keepList saves the list that this process acts on, for its next life; nil without a folder for state.
-func (p *program) keepList(files checked) *newest.Keeper {
+func (p *program) keepList(files checked) *whole.Keeper {
 	if files.state == "" {
 		return nil
 	}
-	return newest.NewKeeper(func() error {
+	return whole.NewKeeper("list", func() error {
 		held, err := p.watch.Held()
 		if err != nil {
 			return err
@@ -64,6 +65,6 @@
 }
 
 // andKeep tells a keeper of each list that is handed on.
-func andKeep(k *newest.Keeper) func(bool, []core.Listing) {
+func andKeep(k *whole.Keeper) func(bool, []core.Listing) {
 	return func(bool, []core.Listing) { k.Changed() }
 }
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -33,6 +33,7 @@
 	"rampspread/internal/ops"
 	"rampspread/internal/servers"
 	"rampspread/internal/state/handover"
+	"rampspread/internal/state/terms"
 	"rampspread/internal/wire"
 	"rampspread/internal/xds"
 )
@@ -112,6 +113,7 @@
 	claims   *claims.Service            // nil: the chat front's own table is all
 	keeper   *keep.Keeper               // nil: it keeps to all replicas
 	lists    *lists.Guard               // nil: its own list is all
+	numbers  *terms.Numbers             // of the fleet's leases; nil: none outlives the process
 	shutOut  atomic.Bool                // drained for being behind
 	settings atomic.Uint64              // fingerprint of the settings in force
 	classes  wire.Classes               // the module's classes; only reload changes them, in one goroutine
@@ -205,6 +207,10 @@
 	if kept != nil {
 		tasks.Go(func() { kept.Run(running) })
 	}
+	if files.state != "" && files.fleet != nil {
+		p.numbers = terms.Open(files.state, terms.Owner(files.identity()))
+		tasks.Go(func() { p.numbers.Run(running) })
+	}
 	tasks.Go(func() { p.watch.Run(running) })
 	if p.keeper != nil {
 		tasks.Go(func() { p.keeper.Run(running) })
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -116,6 +116,7 @@
 	d := &duties{node: n, work: work, limits: limits, next: map[lease.Duty]time.Duration{}, heard: map[lease.Duty]time.Duration{},
 		standing: map[lease.Duty]time.Duration{}, out: map[lease.Duty]result{}, names: map[lease.Duty]string{}, budget: resultBytes}
 	d.holder = lease.NewHolder(lease.Claimer{Name: n.self.Name, Incarnation: uint64(n.start.UnixNano())}, c.Voters, limits, rng.Int64N)
+	d.holder.Raise(n.self.Floor)
 	if slices.Contains(c.Voters, n.self.Name) {
 		d.voter = lease.NewVoter(n.self.Name, limits, n.now())
 	}
@@ -144,6 +145,9 @@
 	d.assign(now, v)
 	most := max(d.fence.Most(), d.holder.Seen())
 	d.holder.Raise(most)
+	if d.node.self.Seen != nil {
+		d.node.self.Seen(most)
+	}
 	if d.voter != nil {
 		d.voter.Raise(most)
 		if now-d.forgotten > forgetAfter {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -60,6 +60,10 @@
 	Seed  uint64
 	// Work is what the fleet does in turn; nil: nothing.
 	Work Work
+	// Floor is a number of a lease that no earlier life of this member has seen a higher one than, and Seen is told the highest that it
+	// knows of, often; it must not block. nil: nothing of it outlives the process.
+	Floor uint64
+	Seen  func(number uint64)
 	// Claims takes what other members say of filings; nil: nothing of it is known here. It must not block.
 	Claims func(message []byte)
 	// Knows tells others that start what this process has learnt, and learns from them at its own start; nil: it does not.
--- a/internal/rig/newest_test.go
+++ b/internal/rig/newest_test.go
@@ -33,3 +33,24 @@
 		})
 	}
 }
+
+// All members of a fleet are killed at once. With folders the numbers of its leases grow on; without they begin anew, and replicas are
+// probed under lower numbers than before, which shows that the day can tell.
+func TestLeaseNumbersOutliveTheFleet(t *testing.T) {
+	day := &Scenario{Name: "all-killed", Seconds: 14, Rate: 14, Zones: 2, Readers: 4, Writers: 4, Faults: []Fault{{At: 6, Do: "kill", Part: 1, For: 0.3}}}
+	for name, state := range map[string]bool{"with folders": true, "without": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, err := Play(context.Background(), day, Options{Program: program, Dispatchers: 3, Seed: 6, Fleet: true, State: state, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.breaches {
+				t.Error(b)
+			}
+			if r.Crashes > 0 || r.Duty == 0 || (r.Doubled == 0) != state {
+				t.Errorf("%d probes under numbers that fell back, %.1f a second in all, %d crashes", r.Doubled, r.Duty, r.Crashes)
+			}
+		})
+	}
+}
--- a/internal/state/newest/keep.go
+++ b/internal/state/whole/keep.go
@@ -1,4 +1,4 @@
-package newest
+package whole
 
 import (
 	"context"
@@ -6,22 +6,23 @@
 	"time"
 )
 
-// saveEvery is the least time between two saves: a release of many servers changes the list several times a second, and each
+// saveEvery is the least time between two saves: a release of many servers changes a list several times a second, and each
 // save waits for the disk.
 const saveEvery = 200 * time.Millisecond
 
-// Keeper saves the list when it has changed. It is the only one that waits for the disk.
+// Keeper saves something when it has changed. It is the only one that waits for the disk.
 type Keeper struct {
+	what    string
 	save    func() error
 	changed chan struct{}
 }
 
-// NewKeeper returns a Keeper that Run must drive; save stores the list as it is now.
-func NewKeeper(save func() error) *Keeper {
-	return &Keeper{save: save, changed: make(chan struct{}, 1)}
+// NewKeeper returns a Keeper that Run must drive; save stores it as it is now, and what names it in the log.
+func NewKeeper(what string, save func() error) *Keeper {
+	return &Keeper{what: what, save: save, changed: make(chan struct{}, 1)}
 }
 
-// Changed says that the list has; it never waits.
+// Changed says that it has; it never waits.
 func (k *Keeper) Changed() {
 	select {
 	case k.changed <- struct{}{}:
@@ -29,7 +30,7 @@
 	}
 }
 
-// Run saves until the context ends. A disk that fails is told of once, until it takes a list again.
+// Run saves until the context ends. A disk that fails is told of once, until it takes what is to be kept again.
 func (k *Keeper) Run(ctx context.Context) {
 	failing := false
 	for {
@@ -40,13 +41,13 @@
 		}
 		if err := k.save(); (err != nil) != failing {
 			if failing = err != nil; failing {
-				slog.Warn("newest_list_unsaved", "err", err)
+				slog.Warn("state_unsaved", "what", k.what, "err", err)
 			} else {
-				slog.Info("newest_list_saved_again")
+				slog.Info("state_saved_again", "what", k.what)
 			}
 		}
 		if failing {
-			k.Changed() // the disk may come back, and the list may not change
+			k.Changed() // the disk may come back, and this may not change again
 		}
 		select {
 		case <-time.After(saveEvery):
