--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -99,15 +99,11 @@
 // An agent that is not there, or takes a call and says nothing, is asked again and again: what it gets at its return
 // counts at once.
 func TestAgentThatWasAway(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
+	addr := testkit.NoOne(t)
 	w, state := follow(t, addr, "push")
 	testkit.Eventually(t, "five attempts", func() bool { return w.attempts.Load() >= 5 })
-	if l, err = net.Listen("tcp", addr); err != nil {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
 		t.Fatal(err)
 	}
 	var calls atomic.Int64
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -84,13 +84,7 @@
 }
 
 func TestConnectFailed(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
-	_, ev := send(t, addr)
+	_, ev := send(t, testkit.NoOne(t))
 	if o := <-ev.ended; o.Outcome != decide.ConnectFailed {
 		t.Errorf("outcome %d", o.Outcome)
 	}
@@ -473,26 +467,18 @@
 
 // A release goes on to the next replica until one that lives has taken it.
 func TestReleaseThroughOneThatLives(t *testing.T) {
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dead.Close()
+	dead := testkit.NoOne(t)
 	live := testkit.NewReplica(t, testkit.Read)
 	pool := servers.New(testkit.Settings(t), 8, 8)
 	defer pool.Close()
-	pool.Release(call, []core.Target{{Name: "dead", Addr: dead.Addr().String()}, {Name: "live", Addr: live.Addr}})
+	pool.Release(call, []core.Target{{Name: "dead", Addr: dead}, {Name: "live", Addr: live.Addr}})
 	testkit.Eventually(t, "the release", func() bool { return live.Releases(call.ID) == 1 })
 }
 
 // A replica is asked for its load by the protocol's path; what cannot be read, an error and a silent or dead replica
 // all tell nothing, in time, and none of them is an answer about a queue of nought.
 func TestProbe(t *testing.T) {
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dead.Close()
+	dead := testkit.NoOne(t)
 	pool := servers.New(testkit.Settings(t), 8, 8)
 	defer pool.Close()
 	for name, want := range map[string]*decide.Load{
@@ -517,7 +503,7 @@
 		to, limit := core.Target{Name: "s", Addr: replica.Listener.Addr().String()}, 5*time.Second
 		switch name {
 		case "dead":
-			to.Addr = dead.Addr().String()
+			to.Addr = dead
 		case "silent":
 			limit = 50 * time.Millisecond
 		}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -251,6 +252,17 @@
 	return fmt.Sprintf("127.%d.%d.", 240+pid>>8%15, pid&255)
 }
 
+// NoOne is an address at which nobody listens.
+func NoOne(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // Eventually waits for what must come; the wait is long, so only what never comes fails.
 func Eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
