--- a/internal/rig/newest_test.go
+++ b/internal/rig/newest_test.go
@@ -10,6 +10,7 @@
 // A dispatcher that is killed and starts again while discovery is silent knows from the disk which servers were leaving; its
 // configuration's list is older. Without a folder it sends to them, which shows that the day can tell.
 func TestNewestListOutlivesTheProcess(t *testing.T) {
+	t.Parallel()
 	day := &Scenario{Name: "silent-restart", Seconds: 13, Rate: 14, Zones: 2, Readers: 5, Writers: 5, Faults: []Fault{
 		{At: 2, Do: "replica-drain", Part: 0.3, For: 10}, {At: 4, Do: "discovery-silent", For: 6}, {At: 5, Do: "kill", Part: 1, For: 0.3}}}
 	for name, state := range map[string]bool{"with a folder": true, "without": false} {
@@ -37,6 +38,7 @@
 // All members of a fleet are killed at once. With folders the numbers of its leases grow on; without they begin anew, and replicas are
 // probed under lower numbers than before, which shows that the day can tell.
 func TestLeaseNumbersOutliveTheFleet(t *testing.T) {
+	t.Parallel()
 	day := &Scenario{Name: "all-killed", Seconds: 14, Rate: 14, Zones: 2, Readers: 4, Writers: 4, Faults: []Fault{{At: 6, Do: "kill", Part: 1, For: 0.3}}}
 	for name, state := range map[string]bool{"with folders": true, "without": false} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/rig/starts_test.go
+++ b/internal/rig/starts_test.go
@@ -8,6 +8,7 @@
 // Starts at bad moments: killed again while starting, while a zone is cut off, while discovery is silent and then behind. No rule
 // breaks, nothing crashes, and requests are served again at the end. RAMPSPREAD_DEPLOYMENTS says how many seeds are played; one in CI.
 func TestStartsAtBadMoments(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"kill-twice", "restart-in-cut", "late-discovery"} {
 		for _, seed := range seeds(t, 1) {
 			t.Run(name, func(t *testing.T) {
