Tell net/http that a body has ended, not that it was aborted, once its last byte was handed over

Found by reading: net/http asks a body once more after its last byte (transferWriter.writeBody), and past its buffer that byte is on the socket by then. An attempt aborted in between got errAborted there, so the write counted as failed (servers.lost), and a filing was sent again. That this was the cause is likely, not proved. Change: body.Read ends with io.EOF once all was given.

--- a/internal/servers/exchange_test.go
+++ b/internal/servers/exchange_test.go
@@ -77,6 +77,22 @@
 	}
 }
 
+// An attempt that is aborted once its last byte was handed over has not failed in writing: net/http asks the body once more then.
+func TestBodyEndsOnceGiven(t *testing.T) {
+	b := &body{rest: []byte("ab")}
+	if n, err := b.Read(make([]byte, 9)); n != 2 || err != io.EOF {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	b.aborted = true
+	if n, err := b.Read(make([]byte, 9)); n != 0 || err != io.EOF {
+		t.Errorf("behind its end: %d bytes, %v", n, err)
+	}
+	b = &body{rest: []byte("ab"), aborted: true}
+	if n, err := b.Read(make([]byte, 9)); n != 0 || err != errAborted {
+		t.Errorf("aborted before: %d bytes, %v", n, err)
+	}
+}
+
 // Only a call whose last byte was not written, over a connection that had been used before, may take another
 // connection: after that it may have run, and a new connection that fails tells of its replica.
 func TestSpent(t *testing.T) {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -106,7 +106,10 @@
 func (b *body) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.aborted {
+	switch {
+	case b.given: // net/http asks once more behind the last byte: an error then would tell that it was not written
+		return 0, io.EOF
+	case b.aborted:
 		return 0, errAborted
 	}
 	n := copy(p, b.rest)
