--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -156,6 +156,9 @@
 // begin starts the stand-ins and then all dispatchers at once.
 func (r *Run) begin(ctx context.Context) error {
 	var err error
+	if r.deployment == nil {
+		r.deployment = usual(r.scenario.Zones)
+	}
 	if r.addrs, err = newAddresses(); err != nil {
 		return err
 	}
