--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -22,8 +22,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	day := &Scenario{Name: "demo", Zones: 3, Readers: 3, Writers: 3}
-	r := &Run{scenario: day, options: o, history: history.NewRecorder(),
+	r := &Run{scenario: &Scenario{Name: "demo", Zones: 3, Readers: 3, Writers: 3}, options: o, history: history.NewRecorder(),
 		rules: history.Rules{FallMultiple: 2.5, FallSpan: seconds(2), ColdFrom: 0.34}, anyone: true}
 	dir, err := os.MkdirTemp("", "fleetrig-")
 	if err != nil {
