Raise the lease numbers before all members are killed, so that the test's control can tell

The control needs numbers above the first when all members are killed, and in a calm first six seconds all leases may stay at the first number, so that what begins anew is not lower. Ruled out: a late report (1.9 duty probes a second were seen).

--- a/internal/rig/newest_test.go
+++ b/internal/rig/newest_test.go
@@ -36,10 +36,12 @@
 }
 
 // All members of a fleet are killed at once. With folders the numbers of its leases grow on; without they begin anew, and replicas are
-// probed under lower numbers than before, which shows that the day can tell.
+// probed under lower numbers than before, which shows that the day can tell. The members killed one at a time before make sure of
+// that: whoever takes their duties over does so under higher numbers than the first, where a calm hour may leave all at the first.
 func TestLeaseNumbersOutliveTheFleet(t *testing.T) {
 	t.Parallel()
-	day := &Scenario{Name: "all-killed", Seconds: 14, Rate: 14, Zones: 2, Readers: 4, Writers: 4, Faults: []Fault{{At: 6, Do: "kill", Part: 1, For: 0.3}}}
+	day := &Scenario{Name: "all-killed", Seconds: 17, Rate: 14, Zones: 2, Readers: 4, Writers: 4, Faults: []Fault{
+		{At: 4, Do: "kill", Part: 0.34, For: 0.3}, {At: 6.5, Do: "kill", Part: 0.34, For: 0.3}, {At: 9, Do: "kill", Part: 1, For: 0.3}}}
 	for name, state := range map[string]bool{"with folders": true, "without": false} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
