Tell an attempt's end only once the close of its connection has had time to arrive

In the probe's trace the close comes before the next write, but the close has to travel, and a replica that has not seen it holds an attempt that is still out.

The end of an attempt that is given up is now told 10 ms after its close, and a stream that comes for one that was aborted no longer ends it while its connection is open.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,9 +89,9 @@
 
 // Events takes an attempt's news; its methods may be called from any goroutine.
 type Events interface {
-	// First asks for the client: the stream goes to it, or false is returned and the attempt is over.
+	// First asks for the client: the stream goes to it, or false is returned and the attempt is to be given up.
 	First(Stream) bool
-	// Ended is called once, unless First returned false.
+	// Ended is called once, when nothing is left of the attempt on its connection.
 	Ended(Outcome)
 }
 
@@ -597,8 +597,7 @@
 func (c *Core) first(a *attempt, s Stream) bool {
 	q := a.req
 	if a.aborted || q.answer == nil {
-		c.finish(a, Outcome{Outcome: decide.Reset})
-		return false
+		return false // it counts as out until its connection is closed, and its end is reported then
 	}
 	a.first, q.streamed = true, true
 	a.timer.Stop()
--- a/internal/servers/exchange_test.go
+++ b/internal/servers/exchange_test.go
@@ -7,8 +7,12 @@
 	"net"
 	"net/http/httptrace"
 	"testing"
+	"time"
 )
 
+// CloseFor is closeFor, for the tests from outside.
+const CloseFor time.Duration = closeFor
+
 // A used connection takes a call only while the Transport waits for bytes with none left over, and what comes
 // before the call's first byte is never handed on.
 func TestConnTake(t *testing.T) {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -35,8 +35,11 @@
 	// A head is one write of a replica's, with the first token: one that does not end for so long never will.
 	headWait   = 300 * time.Millisecond
 	firstEvent = time.Second // from the head to the end of the first event
-	mostEarly  = 8           // 1xx heads before an answer
-	mostStale  = 3           // connections that are found to be of no use, before a call counts as failed
+	// A close is on its way to the replica as a request is, a few milliseconds between a deployment's machines, and may be overtaken
+	// by one that goes elsewhere.
+	closeFor  = 10 * time.Millisecond
+	mostEarly = 8 // 1xx heads before an answer
+	mostStale = 3 // connections that are found to be of no use, before a call counts as failed
 )
 
 // Pool reaches all replicas over one Transport.
@@ -155,6 +158,15 @@
 	}
 }
 
+// giveUp ends an attempt and what is left of its connection. It returns when the replica has had time to see that: the attempt
+// counts as out until then, and its end lets the next one go out, which would be a second copy.
+func (a *attempt) giveUp(written bool) {
+	a.cancel()
+	if written {
+		time.Sleep(closeFor)
+	}
+}
+
 // begin settles whether an exchange's first byte may be written.
 func (a *attempt) begin() bool {
 	a.mu.Lock()
@@ -187,7 +199,7 @@
 		resp, err = x.roundTrip(call, to, limit)
 	}
 	if err != nil {
-		a.cancel()
+		a.giveUp(x.wrote.Load())
 		o := x.lost()
 		slog.Info("call_failed", "id", call.ID, "server", to.Name, "outcome", o,
 			"idle", time.Duration(x.idle.Load()), "err", err)
--- a/internal/servers/stream.go
+++ b/internal/servers/stream.go
@@ -53,14 +53,15 @@
 	s.watch.Stop()
 	if len(s.events) == 0 {
 		resp.Body.Close()
-		a.cancel()
+		a.giveUp(true)
 		slog.Warn("no_first_event", "id", a.id, "err", s.err)
 		ev.Ended(core.Outcome{Outcome: decide.Reset, Begun: true}) // it may have run
 		return
 	}
 	if !ev.First(s) {
 		resp.Body.Close()
-		a.cancel()
+		a.giveUp(true)
+		ev.Ended(core.Outcome{Outcome: decide.Reset})
 	}
 }
 
