Keep two processes of one name from running what the other has open

A process that comes waits until those that are there show what they have; alone nothing is written. Ways not taken: docs/RECOVERY.md.

--- a/cmd/rampspread/handover.go
+++ b/cmd/rampspread/handover.go
@@ -3,11 +3,30 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"rampspread/decide"
+	"rampspread/internal/chat"
+	"rampspread/internal/state/beside"
 	"rampspread/internal/state/handover"
 )
 
+// shareOpen shares what is in hand with other processes of this name on this machine, where they have a folder in common.
+func shareOpen(dir, name string, chat *chat.Config) *beside.Table {
+	if dir == "" {
+		return nil
+	}
+	var keep time.Duration
+	if chat != nil {
+		keep = chat.Keep()
+	}
+	t, err := beside.Start(dir, name, keep)
+	if err != nil {
+		slog.Warn("beside_refused", "err", err)
+	}
+	return t
+}
+
 // handOver begins with what another process of this name has learnt, and then leaves what this one learns to those that ask, until
 // the context ends.
 func (p *program) handOver(ctx context.Context, at handover.Place) {
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -32,6 +32,7 @@
 	"rampspread/internal/fleet/work"
 	"rampspread/internal/ops"
 	"rampspread/internal/servers"
+	"rampspread/internal/state/beside"
 	"rampspread/internal/state/handover"
 	"rampspread/internal/state/terms"
 	"rampspread/internal/wire"
@@ -110,6 +111,7 @@
 	fleet    *fleet.Node                // nil: alone
 	member   atomic.Pointer[fleet.Node] // the same, for goroutines that began before it
 	tasks    *work.Tasks                // of the fleet; nil: alone
+	beside   *beside.Table              // nil: no other process of this name is looked for
 	claims   *claims.Service            // nil: the chat front's own table is all
 	keeper   *keep.Keeper               // nil: it keeps to all replicas
 	lists    *lists.Guard               // nil: its own list is all
@@ -191,6 +193,8 @@
 		return err
 	}
 	p.front = clients.New(p.core, &cfg.Settings)
+	p.beside = shareOpen(o.handover, cfg.Name, chatCfg)
+	p.front.Beside(p.beside)
 	running, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
@@ -222,6 +226,9 @@
 	if o.handover != "" {
 		tasks.Go(func() { p.handOver(running, at) })
 	}
+	if p.beside != nil {
+		tasks.Go(func() { p.beside.Run(running) })
+	}
 	tasks.Go(func() { // to the very end: what is still open while the program drains goes by the list too
 		for {
 			select {
@@ -243,6 +250,8 @@
 		}
 	}
 
+	p.beside.Wait(ctx)
+
 	// Clients hold at most 1 in 3 of the sockets for requests, and each of those can need one to a replica.
 	// Connections without an open request get 1 in 8 more, idle ones to replicas as many, and the rest is
 	// for discovery, releases and the process itself.
@@ -260,6 +269,7 @@
 		if p.claims != nil {
 			p.chat.UseLedger(p.claims)
 		}
+		p.chat.Beside(p.beside)
 		if err := p.listen(chatCfg.Listen, p.chat, sockets/8, failed); err != nil {
 			return err
 		}
@@ -332,7 +342,7 @@
 	}
 	p.classes = next
 	p.settings.Store(fingerprint(&cfg.Settings))
-	p.front.SetClasses(next.Names)
+	p.front.SetClasses(next)
 	names := slices.Sorted(maps.Keys(next.Names))
 	slog.Info("reloaded", "discovery", cfg.Discovery, "classes", strings.Join(names, ","), "attempts", next.Config.MaxAttempts)
 	p.watch.Move(cfg.Discovery)
@@ -454,6 +464,6 @@
 	}
 	slices.Sort(outcomes)
 	return fmt.Sprintf("event=counters taken=%d open=%d servers=%d sent=%d probed=%d heard=%d released=%d served=%d broken=%d refused=%d failed=%d "+
-		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d goroutines=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Probed, n.Heard, n.Released,
-		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), runtime.NumGoroutine(), strings.Join(outcomes, "")+p.fleetCounters())
+		"overdue=%d left=%d bad_requests=%d shed=%d closed_for_room=%d bad_answers=%d bad_entries=%d beside_failed=%d goroutines=%d%s", n.Taken, n.Open, n.Listed, n.Sent, n.Probed, n.Heard, n.Released,
+		n.Served, n.Broken, n.Refused, n.Failed, n.Overdue, n.Left, bad, shed, closed, skipped, p.watch.Bad(), p.beside.Failed(), runtime.NumGoroutine(), strings.Join(outcomes, "")+p.fleetCounters())
 }
--- a/internal/chat/ledger.go
+++ b/internal/chat/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rampspread/internal/fleet/claim"
+	"rampspread/internal/state/beside"
 )
 
 // Ledger says who may run a filing, over all dispatchers and over this one's restarts. Its methods may be called from any goroutine;
@@ -25,9 +26,23 @@
 // UseLedger makes filings go by a ledger besides this process's own table; before the front serves.
 func (f *Front) UseLedger(l Ledger) { f.ledger = l }
 
-// granted asks the ledger about a key that is new to this process's table. Where it is not fresh, the table learns what the
-// ledger knows, or forgets the key.
+// Beside shares what filings were taken with other processes of this name on this machine; before the front serves.
+func (f *Front) Beside(t *beside.Table) { f.beside = t }
+
+// granted asks the other processes of this name, and the ledger, about a key that is new to this process's table. Where it is not
+// fresh, the table learns what they know, or forgets the key.
 func (f *Front) granted(j *job, key string) (verdict, *completion, claim.Try) {
+	switch f.beside.Take(beside.Filing, key) {
+	case beside.Open:
+		f.filings.release(key)
+		return inProgress, nil, claim.Try{}
+	case beside.MayRan:
+		f.filings.settle(key, nil)
+		return mayHaveRun, nil, claim.Try{}
+	case beside.Unknown:
+		f.filings.release(key)
+		return unreachable, nil, claim.Try{}
+	}
 	if f.ledger == nil {
 		return fresh, nil, claim.Try{}
 	}
@@ -36,6 +51,9 @@
 	switch {
 	case out == claim.Granted:
 		return fresh, nil, try
+	}
+	f.beside.Drop(beside.Filing, key)
+	switch {
 	case out == claim.Refused && why == claim.HeldKnown:
 		known := new(completion)
 		if err := json.Unmarshal(answer, known); err == nil && len(known.Choices) > 0 {
@@ -61,12 +79,14 @@
 func (f *Front) note(key string, try claim.Try, answer *completion, ran bool) {
 	if !ran {
 		f.filings.release(key)
+		f.beside.Drop(beside.Filing, key)
 		if f.ledger != nil {
 			f.ledger.Withdraw(key, try)
 		}
 		return
 	}
 	f.filings.settle(key, answer)
+	f.beside.Ran(key)
 	if f.ledger == nil {
 		return
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -17,6 +17,7 @@
 
 	"rampspread/decide"
 	"rampspread/internal/core"
+	"rampspread/internal/state/beside"
 	"rampspread/internal/wire"
 )
 
@@ -34,23 +35,40 @@
 	core     *core.Core
 	settings *wire.Settings
 	bad      atomic.Int64
-	open     sync.Map                       // ids of open requests
-	classes  atomic.Pointer[map[string]int] // the module's class for each name that a client may give
+	open     sync.Map                // ids of open requests
+	beside   *beside.Table           // the same at other processes of this name; nil: there are none
+	classes  atomic.Pointer[classes] // what a client may name
+}
+
+// classes are the module's classes for the names that clients may give, and of each class whether it may be repeated at will.
+type classes struct {
+	names map[string]int
+	safe  []bool
 }
 
 // New returns a Front on the core.
 func New(c *core.Core, settings *wire.Settings) *Front {
 	f := &Front{core: c, settings: settings}
-	classes := map[string]int{}
-	for i, c := range settings.Classes {
-		classes[c.Name] = i
+	now := &classes{names: map[string]int{}}
+	for i, class := range settings.Classes {
+		now.names[class.Name] = i
+		now.safe = append(now.safe, class.Effect == "retryable")
 	}
-	f.classes.Store(&classes)
+	f.classes.Store(now)
 	return f
 }
 
+// Beside shares the ids of open requests with other processes of this name; before the front serves.
+func (f *Front) Beside(t *beside.Table) { f.beside = t }
+
 // SetClasses changes the classes that clients may name, after a retune; open requests keep theirs.
-func (f *Front) SetClasses(classes map[string]int) { f.classes.Store(&classes) }
+func (f *Front) SetClasses(now wire.Classes) {
+	c := &classes{names: now.Names}
+	for _, class := range now.Config.Classes {
+		c.safe = append(c.safe, class.Effect == decide.Safe)
+	}
+	f.classes.Store(c)
+}
 
 // Bad is how many requests made no sense and were answered without being sent anywhere.
 func (f *Front) Bad() int64 { return f.bad.Load() }
@@ -74,6 +92,19 @@
 		return
 	}
 	defer f.open.Delete(req.Call.ID)
+	v := f.beside.Take(beside.Request, req.Call.ID)
+	switch {
+	case v == beside.Free:
+		defer f.beside.Drop(beside.Request, req.Call.ID)
+	case v != beside.Unknown:
+		f.bad.Add(1)
+		http.Error(w, "X-Trace-Id belongs to an open request", http.StatusConflict)
+		return
+	case !f.classes.Load().safe[req.Class]: // it might run twice
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "another process may have this request", http.StatusServiceUnavailable)
+		return
+	}
 	a := f.core.Do(r.Context(), req)
 	switch a.Kind {
 	case core.Served:
@@ -129,7 +160,7 @@
 		return fail(http.StatusBadRequest, "X-Trace-Id missing or malformed")
 	}
 	req := core.Request{Class: -1, Session: Key(h.Get("X-Object"))}
-	if class, ok := (*f.classes.Load())[h.Get("X-Qos")]; ok {
+	if class, ok := f.classes.Load().names[h.Get("X-Qos")]; ok {
 		req.Class = class
 	}
 	if req.Class < 0 {
--- /dev/null
+++ b/internal/state/beside/beside_test.go
@@ -0,0 +1,268 @@
+package beside
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const keep = 2 * time.Second
+
+// TestMain is also the other process: "take KIND NAME", "drop KIND NAME" and "ran NAME" on its standard input, a verdict for each
+// on its standard output.
+func TestMain(m *testing.M) {
+	if dir := os.Getenv("BESIDE_DIR"); dir != "" {
+		os.Exit(serveOther(dir))
+	}
+	os.Exit(m.Run())
+}
+
+func serveOther(dir string) int {
+	t, err := Start(dir, "n0", keep)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { t.Run(ctx) })
+	fmt.Println("silent", t.Wait(ctx))
+	in := bufio.NewScanner(os.Stdin)
+	for in.Scan() {
+		w := strings.Fields(in.Text())
+		v := Free
+		switch w[0] {
+		case "take":
+			v = t.Take(Kind(w[1]), w[2])
+		case "drop":
+			t.Drop(Kind(w[1]), w[2])
+		case "ran":
+			t.Ran(w[1])
+		}
+		fmt.Println(v)
+	}
+	stop()
+	done.Wait()
+	return 0
+}
+
+// process is another process that shares the folder.
+type process struct {
+	t   *testing.T
+	cmd *exec.Cmd
+	in  *os.File
+	out *bufio.Scanner
+}
+
+func start(t *testing.T, dir string) *process {
+	t.Helper()
+	in, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env, cmd.Stdin, cmd.Stderr = append(os.Environ(), "BESIDE_DIR="+dir), in, os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	in.Close()
+	p := &process{t, cmd, write, bufio.NewScanner(out)}
+	t.Cleanup(func() { p.kill() })
+	if got := p.read(); got != "silent 0" {
+		t.Fatalf("it began with %q", got)
+	}
+	return p
+}
+
+func (p *process) read() string {
+	if !p.out.Scan() {
+		p.t.Fatal("the other process ended")
+	}
+	return p.out.Text()
+}
+
+func (p *process) do(format string, args ...any) string {
+	p.t.Helper()
+	fmt.Fprintf(p.in, format+"\n", args...)
+	return p.read()
+}
+
+func (p *process) kill() {
+	p.cmd.Process.Kill()
+	p.in.Close()
+	p.cmd.Wait()
+}
+
+func (p *process) end() {
+	p.in.Close()
+	p.cmd.Wait()
+}
+
+func verdict(v Verdict) string { return fmt.Sprint(v) }
+
+// What one process has in hand when another comes is known to that one before it takes anything, and the other way about; what is
+// ended is free again.
+func TestOneHasIt(t *testing.T) {
+	dir := t.TempDir()
+	first := start(t, dir)
+	for _, name := range []string{"a", "b"} {
+		if got := first.do("take id- %s", name); got != verdict(Free) {
+			t.Fatalf("alone: %s", got)
+		}
+	}
+	if files, _ := filepath.Glob(filepath.Join(dir, "*", "*", "id-*")); len(files) > 0 {
+		t.Errorf("alone it wrote %d files", len(files))
+	}
+	second := start(t, dir)
+	if got := second.do("take id- a"); got != verdict(Open) {
+		t.Errorf("what the first has: %s", got)
+	}
+	if got := second.do("take id- c"); got != verdict(Free) {
+		t.Errorf("what nobody has: %s", got)
+	}
+	if got := first.do("take id- c"); got != verdict(Open) {
+		t.Errorf("what the second has: %s", got)
+	}
+	first.do("drop id- a")
+	eventually(t, "what was ended", func() bool { return second.do("take id- a") == verdict(Free) })
+	second.kill() // what it had is nobody's
+	eventually(t, "what the one that was killed had", func() bool { return first.do("take id- c") == verdict(Free) })
+	eventually(t, "no file to be left", func() bool {
+		files, _ := filepath.Glob(filepath.Join(dir, "*", "*", "id-*"))
+		return len(files) == 0
+	})
+}
+
+// A filing that a process ran, or had in hand when it ended, is known to the next for as long as filings are remembered.
+func TestFilingsStay(t *testing.T) {
+	for _, end := range []string{"killed beside another", "ended alone"} {
+		t.Run(end, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			first := start(t, dir)
+			for _, name := range []string{"ran", "open", "never"} {
+				first.do("take key- %s", name)
+			}
+			began := time.Now()
+			first.do("ran ran")
+			first.do("drop key- never")
+			var second *process
+			if end == "ended alone" {
+				first.end()
+				second = start(t, dir)
+			} else {
+				second = start(t, dir)
+				if got := second.do("take key- ran"); got != verdict(MayRan) {
+					t.Errorf("beside it: %s", got)
+				}
+				if got := second.do("take key- open"); got != verdict(Open) {
+					t.Errorf("in hand beside it: %s", got)
+				}
+				first.kill()
+			}
+			for name, want := range map[string]Verdict{"ran": MayRan, "open": MayRan, "never": Free} {
+				if got := second.do("take key- %s", name); got != verdict(want) && time.Since(began) < keep {
+					t.Errorf("%s: %s, want %d", name, got, want)
+				}
+			}
+			eventually(t, "its time to be over", func() bool { return second.do("take key- ran") == verdict(Free) })
+		})
+	}
+}
+
+// Three processes that take the same names at once, while one after another is killed and another comes: no name is ever held by
+// two that live.
+func TestNeverTwo(t *testing.T) {
+	dir, rng := t.TempDir(), rand.New(rand.NewPCG(5, 5))
+	procs := []*process{start(t, dir), start(t, dir), start(t, dir)}
+	taken, refused := 0, 0
+	for round := range 120 {
+		name := fmt.Sprint("n", round)
+		got := make([]string, len(procs))
+		var wait sync.WaitGroup
+		for i, p := range procs {
+			fmt.Fprintf(p.in, "take id- %s\n", name)
+			wait.Go(func() { p.out.Scan(); got[i] = p.out.Text() })
+		}
+		wait.Wait()
+		holders := 0
+		for _, g := range got {
+			if g == verdict(Free) {
+				holders++
+			}
+		}
+		if holders > 1 {
+			t.Fatalf("%s is held by %d: %v", name, holders, got)
+		}
+		taken += holders
+		refused += 1 - holders
+		if round%20 == 19 {
+			i := rng.IntN(len(procs))
+			procs[i].kill()
+			procs[i] = start(t, dir)
+			// What the others took last, the one that has just come knows.
+			for j, g := range got {
+				if j != i && g == verdict(Free) && procs[i].do("take id- %s", name) != verdict(Open) {
+					t.Fatalf("%s was given to one that has just come", name)
+				}
+			}
+		}
+	}
+	if taken == 0 {
+		t.Errorf("nobody got any of %d names", refused)
+	}
+}
+
+// A folder that does not do what it is asked makes what is taken unknown, at once and in bounds, and nothing else.
+func TestFolderFails(t *testing.T) {
+	dir := t.TempDir()
+	other := start(t, dir)
+	table, err := Start(dir, "n0", keep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if table.Wait(t.Context()) != 0 {
+		t.Error("the other did not show what it has")
+	}
+	for range asksMost { // as if so many hung
+		table.asks <- struct{}{}
+	}
+	if v := table.Take(Request, "x"); v != Unknown || table.Failed() == 0 {
+		t.Errorf("verdict %d, failed %d", v, table.Failed())
+	}
+	for range asksMost {
+		<-table.asks
+	}
+	if v := table.Take(Request, "x"); v != Free {
+		t.Errorf("the folder is back: %d", v)
+	}
+	os.RemoveAll(table.own)
+	if v := table.Take(Request, "y"); v != Unknown {
+		t.Errorf("without a folder: %d", v)
+	}
+	other.end()
+	if _, err := Start(filepath.Join(dir, "none", "\x00"), "n0", keep); err == nil {
+		t.Error("a folder that cannot be made was taken")
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not in 20 s", what)
+		}
+	}
+}
