Take a folder that cannot be looked at for one of a process that lives

A process without a descriptor left could not open another's lock, took it for gone and would have cleared its folder away. Found by reading; TestFolderFails fails without the change. A filing's name that is taken anew no longer counts as one that has ended.

--- a/internal/state/beside/beside.go
+++ b/internal/state/beside/beside.go
@@ -291,14 +291,15 @@
 	return out, nil
 }
 
-// lives tells whether a folder's process has its lock.
+// lives tells whether a folder's process has its lock. One that cannot be looked at, as when this process has no descriptor left,
+// is taken for living: what it has would else be cleared away under it.
 func lives(dir string) bool {
 	f, err := os.Open(filepath.Join(dir, lockFile))
 	if err != nil {
-		return false
+		return !errors.Is(err, fs.ErrNotExist)
 	}
 	defer f.Close()
-	return errors.Is(unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB), unix.EWOULDBLOCK)
+	return unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) != nil
 }
 
 // clear removes what a process that is gone left and is nobody's any more; it tells whether filings stay.
@@ -348,6 +349,7 @@
 	file := fileOf(kind, name)
 	t.mu.Lock()
 	t.held[file] = time.Now()
+	delete(t.ran, file) // an earlier one of this name is forgotten
 	alone := !t.beside && !(kind == Filing && t.left)
 	t.mu.Unlock()
 	if alone {
--- a/internal/state/beside/beside_test.go
+++ b/internal/state/beside/beside_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -248,6 +249,16 @@
 	if v := table.Take(Request, "x"); v != Free {
 		t.Errorf("the folder is back: %d", v)
 	}
+	// A folder that cannot be looked at is one of a process that lives: it is not cleared away under it.
+	blind := filepath.Join(table.base, "blind")
+	if err := errors.Join(os.Mkdir(blind, 0o700), os.Symlink(lockFile, filepath.Join(blind, lockFile))); err != nil {
+		t.Fatal(err)
+	}
+	table.step()
+	if _, err := os.Stat(blind); err != nil {
+		t.Errorf("it was cleared away: %v", err)
+	}
+	os.RemoveAll(blind)
 	os.RemoveAll(table.own)
 	if v := table.Take(Request, "y"); v != Unknown {
 		t.Errorf("without a folder: %d", v)
