Let go of what is held before a process that has been replaced is killed

0.3 s before the platform may kill it (wire.Settings.Grace: the longest deadline, counted as 3 s at the most, and 0.7 s) a process with another of its name beside it now answers what is unanswered, ends what is out and releases what is held; what comes after that is refused. Alone it goes on as before. TestReplacedLetsGoInTime fails without it, TestGiveUp, TestGrace.

--- a/cmd/rampspread/beside_test.go
+++ b/cmd/rampspread/beside_test.go
@@ -9,7 +9,9 @@
 	"os/exec"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"rampspread/internal/testkit"
 )
@@ -40,25 +42,6 @@
 	listen, chatAt, folder := freeAddr(t), freeAddr(t), t.TempDir()
 	config := file(t, "config.json", configText(listen, discovery, list))
 	chatFile := file(t, "chat.json", fmt.Sprintf(`{"listen":%q,"models":{"meldung":"meldung"},"max_tokens":9,"filings":{"entries":9,"keep_s":60}}`, chatAt))
-	start := func() *exec.Cmd {
-		out, ops := &output{}, freeAddr(t)
-		p := exec.Command(os.Args[0], "serve", "-handover", folder, "-chat", chatFile)
-		p.Env = append(os.Environ(), "RAMPSPREAD_TEST_PROGRAM=1", "LB_CONFIG="+config, "LB_OPS="+ops)
-		p.Stdout, p.Stderr = out, out
-		if err := p.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { p.Process.Kill(); p.Wait() })
-		testkit.Eventually(t, "the process to serve", func() bool {
-			c, err := net.Dial("tcp", ops)
-			if err != nil {
-				return false
-			}
-			c.Close()
-			return call(t, ops, "check") == "SUCCESS serving"
-		})
-		return p
-	}
 	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}} // each time another connection, to either process
 	ask := func(at, body string, header map[string]string) (int, string) {
 		r, _ := http.NewRequest(http.MethodPost, "http://"+at+"/v1/chat/completions", strings.NewReader(body))
@@ -81,12 +64,12 @@
 			map[string]string{"Content-Type": "application/json", "Idempotency-Key": "k1"})
 	}
 
-	old := start()
+	old := replaceable(t, config, folder, "-chat", chatFile)
 	go held()
 	go filing()
 	<-in
 	<-in
-	start()
+	replaceable(t, config, folder, "-chat", chatFile)
 	for range 24 {
 		if status, _ := held(); status != http.StatusConflict {
 			t.Fatalf("an id that is open: status %d", status)
@@ -105,3 +88,62 @@
 		t.Errorf("the filing was sent %d times", n)
 	}
 }
+
+// A process that another takes the place of answers what is still unanswered before it can be killed, and lets go of what replicas
+// hold for it: the two count as one, and nobody else could.
+func TestReplacedLetsGoInTime(t *testing.T) {
+	in := make(chan bool, 1)
+	reader := testkit.NewReplica(t, testkit.Read)
+	writer := testkit.NewReplica(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		in <- true
+		<-r.Context().Done()
+	})
+	list := listText(reader.Addr, writer.Addr)
+	discovery, _ := newAgent(t, list)
+	listen, folder := freeAddr(t), t.TempDir()
+	config := file(t, "config.json", configText(listen, discovery, list))
+	old := replaceable(t, config, folder)
+	answer := make(chan int, 1)
+	go func() { status, _ := post(t, listen, "held", "{}"); answer <- status }()
+	<-in
+	replaceable(t, config, folder)
+	term := time.Now()
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	const grace = 3700 * time.Millisecond // of the test's settings: deadlines of 5 and 15 s
+	select {
+	case status := <-answer:
+		if took := time.Since(term); status != http.StatusBadGateway || took < grace-time.Second {
+			t.Errorf("status %d after %v", status, took)
+		}
+	case <-time.After(grace):
+		t.Fatal("it would be killed with an answer owed")
+	}
+	testkit.Eventually(t, "the release", func() bool { return reader.Releases("held")+writer.Releases("held") > 0 })
+	if took := time.Since(term); took > grace {
+		t.Errorf("it let go after %v", took)
+	}
+}
+
+// replaceable starts a process that shares a folder with others of its name, and returns once it serves.
+func replaceable(t *testing.T, config, folder string, args ...string) *exec.Cmd {
+	t.Helper()
+	out, ops := &output{}, freeAddr(t)
+	p := exec.Command(os.Args[0], append([]string{"serve", "-handover", folder}, args...)...)
+	p.Env = append(os.Environ(), "RAMPSPREAD_TEST_PROGRAM=1", "LB_CONFIG="+config, "LB_OPS="+ops)
+	p.Stdout, p.Stderr = out, out
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill(); p.Wait() })
+	testkit.Eventually(t, "the process to serve", func() bool {
+		c, err := net.Dial("tcp", ops)
+		if err != nil {
+			return false
+		}
+		c.Close()
+		return call(t, ops, "check") == "SUCCESS serving"
+	})
+	return p
+}
--- a/cmd/rampspread/handover.go
+++ b/cmd/rampspread/handover.go
@@ -27,6 +27,15 @@
 	return t
 }
 
+// giveUp ends what is unanswered before the platform kills this process, if another has taken its place: the two count as one, so
+// what this one left held at replicas would stay so. With none beside it replicas free that by themselves.
+func (p *program) giveUp() {
+	if p.beside.Beside() {
+		slog.Info("given_up")
+		p.core.GiveUp()
+	}
+}
+
 // handOver begins with what another process of this name has learnt, and then leaves what this one learns to those that ask, until
 // the context ends.
 func (p *program) handOver(ctx context.Context, at handover.Place) {
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -44,6 +44,9 @@
 	lameDuck    = 500 * time.Millisecond // until idle connections are closed
 	lastCall    = 400 * time.Millisecond // from then until the listener is
 	shutdownFor = 20 * time.Second
+	// For what is given up to be answered, and what is held for it to be let go: a close is told after 10 ms, a release may
+	// have to try a second replica after 30 ms, and what a read left shows within 120 ms.
+	lastWords = 300 * time.Millisecond
 )
 
 // load reads the configuration that the program starts with; the environment's words stand above the file's.
@@ -307,7 +310,7 @@
 	if o.handover != "" {
 		p.leave(running, at)
 	}
-	err = p.drain()
+	err = p.drain(cfg.Settings.Grace())
 	fmt.Fprintln(out, p.counters(running))
 	return err
 }
@@ -368,8 +371,10 @@
 
 // drain ends in good order. New connections still come for a while: they are taken, and each answer is the
 // last on its connection. Idle connections close next, and the listeners last.
-func (p *program) drain() error {
+func (p *program) drain(grace time.Duration) error {
 	slog.Info("draining")
+	last := time.AfterFunc(grace-lastWords, p.giveUp)
+	defer last.Stop()
 	p.state.Stopping.Store(true)
 	if p.fleet != nil {
 		go func() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -156,6 +156,7 @@
 	actions  []decide.Action
 	pending  []decide.Event // events that follow from carrying out actions
 	stale    []*request     // to be looked at by forget once nothing is pending
+	ending   bool           // nothing is taken any more
 	counters Counters
 	taken    atomic.Int64 // the same as the counters'
 }
@@ -419,6 +420,10 @@
 	c.taken.Add(1)
 	// The guard behind the module: whatever happens, the client is answered by its deadline.
 	q.timer = time.AfterFunc(q.deadline-now, func() { c.post(func() { c.overdue(q) }) })
+	if c.ending {
+		c.giveUp(q)
+		return
+	}
 	c.handle(decide.Arrival{
 		Request: q.id, Class: q.Class, Tenant: q.Tenant, Session: q.Session, Shared: q.Shared,
 		Prompt: q.Prompt, SharedTokens: q.SharedTokens, MaxOutput: q.MaxOutput, TimeLeft: q.deadline - now,
@@ -467,6 +472,32 @@
 	c.forget(q)
 }
 
+// GiveUp answers all that is unanswered, lets go of what is held for it, and refuses what comes from now on: the process is about
+// to be killed, and what it leaves held another one cannot let go.
+func (c *Core) GiveUp() {
+	c.post(func() {
+		c.ending = true
+		for _, q := range c.requests {
+			if q.answer != nil {
+				c.giveUp(q)
+			}
+		}
+	})
+}
+
+// giveUp refuses a request that was never sent, and fails any other.
+func (c *Core) giveUp(q *request) {
+	if len(q.attempts) == 0 {
+		c.counters.Refused++
+		c.reply(q, Answer{Kind: Refused, RetryAfter: comeBack})
+	} else {
+		c.counters.Failed++
+		c.reply(q, Answer{Kind: Failed})
+	}
+	c.handle(decide.ClientGone{Request: q.id})
+	c.forget(q)
+}
+
 // reply gives the one final answer; the channel has room for it.
 func (c *Core) reply(q *request, a Answer) {
 	if a.Kind != Served {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -189,6 +189,30 @@
 	}
 }
 
+// A process that is about to be killed answers what is unanswered, ends what is out, lets go of what is held, and takes nothing more.
+func TestGiveUp(t *testing.T) {
+	h, c := start(t)
+	waits := ask(c, context.Background(), 1, 30*time.Second)
+	read := <-h.sends
+	read.ev.Ended(core.Outcome{Outcome: decide.ReadDone})
+	write := <-h.sends
+	c.GiveUp()
+	if a := <-waits; a.Kind != core.Failed {
+		t.Errorf("a filing that may run was answered %+v", a)
+	}
+	if to := <-h.aborts; to != write.to {
+		t.Errorf("%s was aborted, not %s", to, write.to)
+	}
+	write.ev.Ended(core.Outcome{Outcome: decide.Reset})
+	<-h.releases
+	if a := <-ask(c, context.Background(), 0, 30*time.Second); a.Kind != core.Refused || a.RetryAfter <= 0 {
+		t.Errorf("what came later was answered %+v", a)
+	}
+	if n := c.Counters(context.Background()); n.Open != 0 || len(h.sends) > 0 {
+		t.Errorf("%d open, %d more sends", n.Open, len(h.sends))
+	}
+}
+
 // A first event races the client's leaving: one of them wins, and a lost stream is refused.
 func TestRaces(t *testing.T) {
 	h, c := start(t)
--- a/internal/state/beside/beside.go
+++ b/internal/state/beside/beside.go
@@ -328,6 +328,16 @@
 	}
 }
 
+// Beside tells whether another process of this name is there.
+func (t *Table) Beside() bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.beside
+}
+
 // Failed is how often the folder did not do what it was asked.
 func (t *Table) Failed() int64 {
 	if t == nil {
--- a/internal/wire/retune_test.go
+++ b/internal/wire/retune_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"rampspread/decide"
 )
@@ -101,3 +102,13 @@
 		}
 	}
 }
+
+// A process that is told to end has the longest deadline and 0.7 s, and no more than 3.7 s.
+func TestGrace(t *testing.T) {
+	for longest, want := range map[string]time.Duration{"15000": 3700 * time.Millisecond, "1200": 1900 * time.Millisecond} {
+		text := strings.Replace(strings.Replace(tuned, `"hardLimitMs":5000`, `"hardLimitMs":1200`, 1), "15000", longest, 1)
+		if got := parse(t, text).Grace(); got != want {
+			t.Errorf("deadlines of %s ms at the most: %v, want %v", longest, got, want)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -76,6 +76,16 @@
 	return cmp.Or(FromMS(s.Rules.StopSendingWithinMs), 500*time.Millisecond)
 }
 
+// Grace is how long the platform leaves a process after SIGTERM, at the least, before it kills it: the longest deadline, counted as 3 s
+// where it is longer, and 0.7 s (PROTOCOL, "Figures").
+func (s *Settings) Grace() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, FromMS(c.HardLimitMs))
+	}
+	return min(longest, 3*time.Second) + 700*time.Millisecond
+}
+
 // Zone is the number of a zone, -1 for one that the settings do not name. A deployment may have no zones: all it has
 // is then in one.
 func (s *Settings) Zone(name string) int {
