Wait for the last releases before a replaced process ends

Only a process with another of its name beside it waits (0.3 s), since that one answers for what is held; a process that ends alone goes on at once.

The three ways in which the core answers over the module's head are one function now; behaviour unchanged.

--- a/cmd/rampspread/beside_test.go
+++ b/cmd/rampspread/beside_test.go
@@ -120,7 +120,8 @@
 	case <-time.After(grace):
 		t.Fatal("it would be killed with an answer owed")
 	}
-	testkit.Eventually(t, "the release", func() bool { return reader.Releases("held")+writer.Releases("held") > 0 })
+	// The second one is for what the end of a read in that moment may have left.
+	testkit.Eventually(t, "both releases", func() bool { return reader.Releases("held")+writer.Releases("held") > 1 })
 	if took := time.Since(term); took > grace {
 		t.Errorf("it let go after %v", took)
 	}
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -395,6 +395,9 @@
 			errs = append(errs, fmt.Errorf("shutdown: %w", err))
 		}
 	}
+	if p.beside.Beside() {
+		time.Sleep(lastWords) // what was let go last is still on its way, and the process that goes on cannot let go of it
+	}
 	return errors.Join(errs...)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -447,7 +447,12 @@
 		return
 	}
 	c.counters.Overdue++
-	c.reply(q, Answer{Kind: Failed})
+	c.end(q, Answer{Kind: Failed})
+}
+
+// end answers a request over the module's head, which then ends what is out for it.
+func (c *Core) end(q *request, a Answer) {
+	c.reply(q, a)
 	c.handle(decide.ClientGone{Request: q.id})
 	c.forget(q)
 }
@@ -467,9 +472,7 @@
 		return
 	}
 	c.counters.Left++
-	c.reply(q, Answer{Kind: Left})
-	c.handle(decide.ClientGone{Request: q.id})
-	c.forget(q)
+	c.end(q, Answer{Kind: Left})
 }
 
 // GiveUp answers all that is unanswered, lets go of what is held for it, and refuses what comes from now on: the process is about
@@ -489,13 +492,11 @@
 func (c *Core) giveUp(q *request) {
 	if len(q.attempts) == 0 {
 		c.counters.Refused++
-		c.reply(q, Answer{Kind: Refused, RetryAfter: comeBack})
-	} else {
-		c.counters.Failed++
-		c.reply(q, Answer{Kind: Failed})
+		c.end(q, Answer{Kind: Refused, RetryAfter: comeBack})
+		return
 	}
-	c.handle(decide.ClientGone{Request: q.id})
-	c.forget(q)
+	c.counters.Failed++
+	c.end(q, Answer{Kind: Failed})
 }
 
 // reply gives the one final answer; the channel has room for it.
