Take the front's classes from the one table, and start the tests' processes in one place

The front built which classes may be repeated twice, at the start from the settings' words and after a retune from the module's table; it takes the table in both cases now. Two tests of processes that overlap started them and waited for their yes by copies of one piece of code. Behaviour unchanged; tests of cmd/rampspread, clients, chat and core passed under -race.

--- a/cmd/rampspread/beside_test.go
+++ b/cmd/rampspread/beside_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"os/exec"
 	"strings"
 	"sync/atomic"
@@ -130,21 +128,8 @@
 // replaceable starts a process that shares a folder with others of its name, and returns once it serves.
 func replaceable(t *testing.T, config, folder string, args ...string) *exec.Cmd {
 	t.Helper()
-	out, ops := &output{}, freeAddr(t)
-	p := exec.Command(os.Args[0], append([]string{"serve", "-handover", folder}, args...)...)
-	p.Env = append(os.Environ(), "RAMPSPREAD_TEST_PROGRAM=1", "LB_CONFIG="+config, "LB_OPS="+ops)
-	p.Stdout, p.Stderr = out, out
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { p.Process.Kill(); p.Wait() })
-	testkit.Eventually(t, "the process to serve", func() bool {
-		c, err := net.Dial("tcp", ops)
-		if err != nil {
-			return false
-		}
-		c.Close()
-		return call(t, ops, "check") == "SUCCESS serving"
-	})
+	ops := freeAddr(t)
+	p, _ := process(t, config, ops, append([]string{"-handover", folder}, args...)...)
+	saysYes(t, ops)
 	return p
 }
--- a/cmd/rampspread/ops_test.go
+++ b/cmd/rampspread/ops_test.go
@@ -116,6 +116,33 @@
 	}
 }
 
+// process starts the program itself, with an ops address of its own, and ends it with the test.
+func process(t *testing.T, config, ops string, args ...string) (*exec.Cmd, *output) {
+	t.Helper()
+	out := &output{}
+	p := exec.Command(os.Args[0], append([]string{"serve"}, args...)...)
+	p.Env = append(os.Environ(), "RAMPSPREAD_TEST_PROGRAM=1", "LB_CONFIG="+config, "LB_OPS="+ops)
+	p.Stdout, p.Stderr = out, out
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Process.Kill(); p.Wait() })
+	return p, out
+}
+
+// saysYes waits until a process says on its ops address that it serves.
+func saysYes(t *testing.T, ops string) {
+	t.Helper()
+	testkit.Eventually(t, "the process to say yes", func() bool {
+		c, err := net.Dial("tcp", ops)
+		if err != nil {
+			return false
+		}
+		c.Close()
+		return call(t, ops, "check") == "SUCCESS serving"
+	})
+}
+
 // A second process starts beside the first on the same client address, says yes on its own ops address, and
 // after SIGTERM to the first every request is answered, by one or the other, with nothing lost.
 func TestReplacementBesideTheFirst(t *testing.T) {
@@ -132,32 +159,14 @@
 	discovery, _ := newAgent(t, list)
 	listen := freeAddr(t)
 	config := file(t, "config.json", configText(listen, discovery, list))
-	start := func(ops string) (*exec.Cmd, *output) {
-		out := &output{}
-		p := exec.Command(os.Args[0], "serve")
-		p.Env = append(os.Environ(), "RAMPSPREAD_TEST_PROGRAM=1", "LB_CONFIG="+config, "LB_OPS="+ops)
-		p.Stdout, p.Stderr = out, out
-		if err := p.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { p.Process.Kill(); p.Wait() })
-		return p, out
-	}
 	oldOps, newOps := freeAddr(t), freeAddr(t)
-	old, oldOut := start(oldOps)
+	old, oldOut := process(t, config, oldOps)
 	ready(t, listen)
 	held := make(chan int)
 	go func() { status, _ := post(t, listen, "held", `{}`); held <- status }()
 	<-in
-	_, newOut := start(newOps)
-	testkit.Eventually(t, "the new process to say yes", func() bool {
-		c, err := net.Dial("tcp", newOps)
-		if err != nil {
-			return false
-		}
-		c.Close()
-		return call(t, newOps, "check") == "SUCCESS serving"
-	})
+	_, newOut := process(t, config, newOps)
+	saysYes(t, newOps)
 	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -195,7 +195,7 @@
 	if p.claims, err = p.ledger(files, time.Now()); err != nil {
 		return err
 	}
-	p.front = clients.New(p.core, &cfg.Settings)
+	p.front = clients.New(p.core, &cfg.Settings, classes)
 	p.beside = shareOpen(o.handover, cfg.Name, chatCfg)
 	p.front.Beside(p.beside)
 	running, stop := context.WithCancel(context.Background())
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -46,15 +46,10 @@
 	safe  []bool
 }
 
-// New returns a Front on the core.
-func New(c *core.Core, settings *wire.Settings) *Front {
+// New returns a Front on the core, for clients that may name these classes.
+func New(c *core.Core, settings *wire.Settings, now wire.Classes) *Front {
 	f := &Front{core: c, settings: settings}
-	now := &classes{names: map[string]int{}}
-	for i, class := range settings.Classes {
-		now.names[class.Name] = i
-		now.safe = append(now.safe, class.Effect == "retryable")
-	}
-	f.classes.Store(now)
+	f.SetClasses(now)
 	return f
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -37,7 +37,11 @@
 func serve(t testing.TB, read, write testkit.Script) (*testkit.Fleet, *clients.Front, string) {
 	t.Helper()
 	fleet := testkit.NewFleet(t, read, write)
-	front := clients.New(fleet.Core, fleet.Settings)
+	classes, err := fleet.Settings.Table()
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := clients.New(fleet.Core, fleet.Settings, classes)
 	s := httptest.NewServer(front)
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	return fleet, front, s.URL
