Bound each pause between calls to discovery by what is left of 6 s, whatever the fleet's size

Seen: docs/LISTS.md said that asked lists of over 160 dispatchers mend a silent watch after 7.4 s, where a change counts as told after 6 s. backoff.next let the first pause grow by 12.5 ms and later ones by 400 ms for each dispatcher (lines firstMost, eachLeast, eachMost): 12.8 s and minutes at 1,024.

Now no pause is drawn from a span over 2 s, and silence is noticed after 2.5 s where lists are asked for too (3 s before): 4.5 s and the call. A second connection that rested through a cut could hold the next call as long: they are closed after each loss.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -8,18 +8,19 @@
 const (
 	eachFirst = 50 * time.Millisecond  // for each dispatcher of the fleet: the span of a pause,
 	eachMost  = 400 * time.Millisecond // and of the longest
-	mostFleet = 1 << 16                // so that no settings make a span overflow
 
-	// What a lost watch misses counts as told after 6 s, of which noticing takes quietAsked and the call its time. The
-	// pause after it keeps to what is left, unless the fleet would then ask more often than once in eachLeast.
-	firstMost = 2 * time.Second
-	eachLeast = eachFirst / 4
+	// A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls before. At the
+	// worst a call goes out just before that and is given up after quiet; the pause behind it and the call that brings the
+	// change have what is left, less stopSendingWithinMs, half of that again for a slow machine: so no pause may be
+	// longer, however large the fleet is or however often it has failed.
+	mostPause = 2 * time.Second
+	mostFleet = 1 << 16 // so that no settings make a span overflow
 )
 
 // backoff draws the pauses between attempts at discovery. Where it has to be asked it serves all dispatchers with a
 // fixed capacity and loses all of them at once: with a fixed pause they would come back in step, be turned away
-// together and keep it full for good. So each pause is drawn from a span that lets the fleet together ask a set
-// number of times a second, and the span doubles while attempts fail.
+// together and keep it full for good. So each pause is drawn from a span that grows with the fleet and doubles while
+// attempts fail, up to mostPause: a larger fleet then asks more often, but still spread evenly over the span.
 type backoff struct {
 	rng   *rand.Rand
 	fleet func() float64 // how many dispatchers there are with a part like this one's
@@ -37,10 +38,7 @@
 		return b.agent
 	}
 	fleet := time.Duration(min(max(b.fleet(), 1), mostFleet))
-	span := fleet * min(eachFirst<<min(max(b.fails-2, 0), 10), eachMost)
-	if b.fails == 1 {
-		span = min(span, max(firstMost, fleet*eachLeast))
-	}
+	span := min(fleet*min(eachFirst<<min(max(b.fails-2, 0), 10), eachMost), mostPause)
 	return time.Duration(b.rng.Int64N(int64(span)))
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -28,10 +28,9 @@
 	maxList = 1 << 20 // bytes of a list or a change, three times those of 1,024 entries with indentation
 
 	// While nothing changes an empty line comes every 2 s; a watch without one for so long is dead. What it
-	// misses counts as told 6 s after its last line, and where an agent has it, which lost discovery for a
-	// while, when discovery is back. Where each call costs, a line that is late must not look like a dead watch.
-	quietPushed = 2500 * time.Millisecond
-	quietAsked  = 3 * time.Second
+	// misses counts as told 6 s after it fell silent, and where an agent has it, which lost discovery for a
+	// while, when discovery is back.
+	quiet = 2500 * time.Millisecond
 
 	fetchWait = 2 * time.Second // for a whole list
 )
@@ -77,7 +76,7 @@
 
 // New returns a Watcher that hands every list to apply. The seed draws the pauses between its attempts.
 func New(addr string, settings *wire.Settings, seed uint64, apply func(bool, []core.Listing)) *Watcher {
-	w := &Watcher{addr: addr, moved: make(chan struct{}), confirmed: make(chan struct{}), known: map[string]core.Listing{}, settings: settings, apply: apply, quiet: quietAsked,
+	w := &Watcher{addr: addr, moved: make(chan struct{}), confirmed: make(chan struct{}), known: map[string]core.Listing{}, settings: settings, apply: apply, quiet: quiet,
 		backoff: newBackoff(seed, func() float64 { return float64(settings.Balancers) }),
 		client: &http.Client{
 			Transport: &http.Transport{
@@ -87,7 +86,7 @@
 	if settings.Pushed() {
 		// An agent answers at once and at no cost, and what it has counts as told whether or not a watch is open: a
 		// pause takes only a tenth of the time in which that has to bind.
-		w.quiet, w.backoff.agent = quietPushed, settings.Binds()/10
+		w.backoff.agent = settings.Binds() / 10
 	}
 	w.stale.Store(true)
 	return w
@@ -213,6 +212,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		// A connection that rested while the network was cut says nothing, and a second call that is held by one would take
+		// longer than news may.
+		w.client.CloseIdleConnections()
 		pause := w.backoff.next()
 		if w.backoff.fails == 1 { // those that follow would fill the log while an agent is away
 			slog.Info("discovery_lost", "addr", addr, "pause", pause, "err", err)
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/iotest"
@@ -131,6 +132,66 @@
 	}
 }
 
+// A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls before: of a fleet of 1,024 each
+// has it in 5.5 s, after a watch that falls silent and after calls that were refused, turned away, cut, held, or held on a connection that had
+// rested.
+func TestToldAfterAnyCall(t *testing.T) {
+	for name, down := range map[string]func(http.ResponseWriter, *http.Request){
+		"silent":      func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"turned away": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"cut":         func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"half a line": func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, leaving[:40])
+			http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var up atomic.Bool
+			var calls atomic.Int64
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case !up.Load():
+					calls.Add(1)
+					down(w, r)
+				case r.URL.Query().Get("stream") == "":
+					fmt.Fprintf(w, leaving, 2, true, "draining")
+				default:
+					fmt.Fprintf(w, leaving, 2, false, "draining")
+					http.NewResponseController(w).Flush()
+					<-r.Context().Done()
+				}
+			}))
+			defer s.Close()
+			const fleet = 16 // of the 1,024
+			var told [fleet]atomic.Int64
+			ctx, stop := context.WithCancel(context.Background())
+			var done sync.WaitGroup
+			for i := range told {
+				settings := testkit.Settings(t)
+				settings.Discovery, settings.Balancers = "ask", 1024
+				w := New(s.Listener.Addr().String(), settings, uint64(i), func(_ bool, entries []core.Listing) {
+					if entries[0].State == decide.Draining {
+						told[i].CompareAndSwap(0, time.Now().UnixNano())
+					}
+				})
+				done.Go(func() { w.Run(ctx) })
+			}
+			defer func() { stop(); s.CloseClientConnections(); done.Wait() }()
+			testkit.Eventually(t, "two calls each", func() bool { return calls.Load() >= 2*fleet })
+			up.Store(true)
+			from := time.Now()
+			for i := range told {
+				testkit.Eventually(t, "the drain", func() bool { return told[i].Load() != 0 })
+				if took := time.Unix(0, told[i].Load()).Sub(from); took > toldWithin-spare {
+					t.Errorf("dispatcher %d was told after %v", i, took)
+				}
+			}
+		})
+	}
+}
+
 // Objects come on a line each or indented, in pieces, with empty lines between them; what makes no sense is told
 // apart from what was cut off.
 func TestLines(t *testing.T) {
