Begin no attempt for a client that has left, and tell a replica what is left when it is written

Cause, by reading: where attempts may not be cancelled the module sends no Cancel for a client that left (decide.clientGone), and an attempt that still waited for its connection was written all the same, up to the dial's 125 ms or as long as MaxConnsPerHost holds it. core.end now withdraws what has not begun, whatever the settings allow.

X-Expires-In was made when the attempt was decided (servers.roundTrip) and written after the wait for a connection, up to 125 ms for each of up to four, and longer at a server's connection limit. It is made in GotConn now, which the Transport calls in RoundTrip before it writes the head.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -450,10 +450,16 @@
 	c.end(q, Answer{Kind: Failed})
 }
 
-// end answers a request over the module's head, which then ends what is out for it.
+// end answers a request over the module's head, which then ends what is out for it, where that may be cancelled.
+// An attempt that still waits for its connection must not begin in any case: nobody waits for its answer.
 func (c *Core) end(q *request, a Answer) {
 	c.reply(q, a)
 	c.handle(decide.ClientGone{Request: q.id})
+	for _, a := range q.attempts {
+		if !a.ended && !a.first {
+			a.call.Withdraw()
+		}
+	}
 	c.forget(q)
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -48,6 +48,11 @@
 type noStream struct{ io.ReadCloser }
 
 func start(t *testing.T) (*hand, *core.Core) {
+	t.Helper()
+	return startWith(t, func(*decide.Config) {})
+}
+
+func startWith(t *testing.T, change func(*decide.Config)) (*hand, *core.Core) {
 	t.Helper()
 	h := &hand{sends: make(chan sent, 64), aborts: make(chan string, 64), releases: make(chan string, 64),
 		withdrew: make(chan string, 64)}
@@ -55,6 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	change(&cfg)
 	c, err := core.New(cfg, 1, h)
 	if err != nil {
 		t.Fatal(err)
@@ -189,6 +195,39 @@
 	}
 }
 
+// Where attempts may not be cancelled, one that still waits for its connection does not begin once its client has left: at a reader, at
+// a writer, and when it is the second at either.
+func TestClientLeftBeforeAnAttemptBegan(t *testing.T) {
+	outcomes := func(all ...decide.Outcome) []decide.Outcome { return all }
+	for name, before := range map[string][]decide.Outcome{
+		"reading":       nil,
+		"reading again": outcomes(decide.ConnectFailed),
+		"writing":       outcomes(decide.ReadDone),
+		"writing again": outcomes(decide.ReadDone, decide.ConnectFailed),
+	} {
+		h, c := startWith(t, func(cfg *decide.Config) { cfg.MayCancel = false })
+		ctx, leave := context.WithCancel(context.Background())
+		got := ask(c, ctx, 0, time.Minute)
+		s := <-h.sends
+		for _, o := range before {
+			s.ev.Ended(core.Outcome{Outcome: o})
+			s = <-h.sends
+		}
+		leave()
+		if a := <-got; a.Kind != core.Left {
+			t.Fatalf("%s: answer %+v", name, a)
+		}
+		if to := <-h.withdrew; to != s.to || len(h.withdrew) > 0 || len(h.aborts) > 0 {
+			t.Errorf("%s: withdrawn from %s, sent to %s; %d more, %d aborted", name, to, s.to, len(h.withdrew), len(h.aborts))
+		}
+		s.ev.Ended(core.Outcome{Outcome: decide.ConnectFailed})
+		<-h.releases
+		if n := c.Counters(context.Background()); n.Open != 0 || len(h.sends) > 0 {
+			t.Errorf("%s: %d open, %d more sends", name, n.Open, len(h.sends))
+		}
+	}
+}
+
 // A process that is about to be killed answers what is unanswered, ends what is out, lets go of what is held, and takes nothing more.
 func TestGiveUp(t *testing.T) {
 	h, c := start(t)
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -179,13 +179,13 @@
 func (p *Pool) Send(call core.Call, to core.Target, limit time.Duration, ev core.Events) core.Attempt {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &attempt{pool: p, id: call.ID, ctx: ctx, cancel: cancel, body: &body{rest: call.Body}}
-	go a.run(call, to, limit, ev)
+	go a.run(call, to, time.Now().Add(limit), ev)
 	return a
 }
 
-func (a *attempt) run(call core.Call, to core.Target, limit time.Duration, ev core.Events) {
+func (a *attempt) run(call core.Call, to core.Target, until time.Time, ev core.Events) {
 	x := newExchange(a)
-	resp, err := x.roundTrip(call, to, limit)
+	resp, err := x.roundTrip(call, to, until)
 	for n := 0; n < mostStale && err != nil && x.spent(); n++ {
 		// Its last byte was not written, so it is the same attempt, and the replica is not to blame.
 		a.mu.Lock()
@@ -196,7 +196,7 @@
 		a.body, a.writing = &body{rest: call.Body}, false
 		x = newExchange(a)
 		a.mu.Unlock()
-		resp, err = x.roundTrip(call, to, limit)
+		resp, err = x.roundTrip(call, to, until)
 	}
 	if err != nil {
 		a.giveUp(x.wrote.Load())
@@ -242,10 +242,14 @@
 
 // roundTrip sends a call and waits for the answer's head. A replica may begin a head and never end it, which
 // the Transport does not notice.
-func (x *exchange) roundTrip(call core.Call, to core.Target, limit time.Duration) (*http.Response, error) {
+func (x *exchange) roundTrip(call core.Call, to core.Target, until time.Time) (*http.Response, error) {
+	var req *http.Request
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			x.stale.Store(!usable(info, x.begin))
+			// The wait for a connection may have taken most of the time that was left when the attempt was made. The
+			// Transport calls this from RoundTrip, before it writes the head.
+			req.Header.Set("X-Expires-In", strconv.FormatInt(max(time.Until(until).Milliseconds(), 1), 10)+"m")
 			if x.idle.Store(-1); info.Reused {
 				x.idle.Store(int64(info.IdleTime))
 			}
@@ -282,7 +286,6 @@
 	}
 	req.Body, req.ContentLength = x.body, int64(len(call.Body))
 	req.Header.Set("X-Trace-Id", call.ID)
-	req.Header.Set("X-Expires-In", strconv.FormatInt(limit.Milliseconds(), 10)+"m")
 	if call.Type != "" {
 		req.Header.Set("Content-Type", call.Type)
 	}
