Close resting connections between a request's bytes and its answer never, and see a client go that sent ahead

Cause, by reading net/http: Shutdown and SetKeepAlivesEnabled close each connection in StateIdle, and one is in that state until a request's head has been read whole, so a close could cross a request that was being read: it reached the core and its answer went nowhere. After Shutdown began, serve() drops a request whose head it has just read (`if c.server.shuttingDown()`). makeRoom and CloseQuiet crossed the same way. A client that had sent ahead behind its open request was never seen to close: the background read stops at the first byte. A close over what was sent ahead reset the connection (seen: "connection reset by peer" behind "the answer").

Now the client's connection (clients/conn.go) takes bytes under a lock; a closer asks the socket under the same lock and leaves a connection alone on which anything has come. The drain closes by the guards only.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -44,6 +44,7 @@
 	lameDuck    = 500 * time.Millisecond // until idle connections are closed
 	lastCall    = 400 * time.Millisecond // from then until the listener is
 	shutdownFor = 20 * time.Second
+	closeEvery  = 50 * time.Millisecond // between looks for connections that have come to rest
 	// For what is given up to be answered, and what is held for it to be let go: a close is told after 10 ms, a release may
 	// have to try a second replica after 30 ms, and what a read left shows within 120 ms.
 	lastWords = 300 * time.Millisecond
@@ -111,6 +112,7 @@
 	ready    atomic.Bool // the client listeners take connections
 	guards   []*clients.Guard
 	servers  []*http.Server
+	listens  []net.Listener
 	fleet    *fleet.Node                // nil: alone
 	member   atomic.Pointer[fleet.Node] // the same, for goroutines that began before it
 	tasks    *work.Tasks                // of the fleet; nil: alone
@@ -360,9 +362,9 @@
 	server := &http.Server{}
 	guard := clients.NewGuard(front, p.bodies, &p.state)
 	guard.Attach(server)
-	p.guards, p.servers = append(p.guards, guard), append(p.servers, server)
+	p.guards, p.servers, p.listens = append(p.guards, guard), append(p.servers, server), append(p.listens, listener)
 	go func() {
-		if err := server.Serve(guard.Listen(listener, conns)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guard.Listen(listener, conns)); !errors.Is(err, net.ErrClosed) {
 			failed <- err
 		}
 	}()
@@ -383,18 +385,37 @@
 		}()
 	}
 	time.Sleep(lameDuck)
-	for _, s := range p.servers {
-		s.SetKeepAlivesEnabled(false)
-	}
-	time.Sleep(lastCall)
-	end, cancel := context.WithTimeout(context.Background(), shutdownFor)
-	defer cancel()
+	// The guards close what rests, not the servers' Shutdown: that closes connections on which a request is just being read, and
+	// drops one whose head has been read, without an answer.
+	begun := time.Now()
+	tick := time.NewTicker(closeEvery)
+	defer tick.Stop()
 	var errs []error
-	for _, s := range p.servers {
-		if err := s.Shutdown(end); err != nil {
-			errs = append(errs, fmt.Errorf("shutdown: %w", err))
+	for listening := true; ; <-tick.C {
+		if listening && time.Since(begun) >= lastCall {
+			listening = false
+			for _, l := range p.listens {
+				if err := l.Close(); err != nil {
+					errs = append(errs, fmt.Errorf("shutdown: %w", err))
+				}
+			}
+		}
+		open := 0
+		for _, g := range p.guards {
+			g.CloseQuiet(quietFor)
+			open += g.Open()
+		}
+		if !listening && open == 0 {
+			break
+		}
+		if time.Since(begun) >= lastCall+shutdownFor {
+			errs = append(errs, fmt.Errorf("shutdown: %d connections are still open", open))
+			break
 		}
 	}
+	for _, s := range p.servers {
+		s.Close()
+	}
 	if p.beside.Beside() {
 		time.Sleep(lastWords) // what was let go last is still on its way, and the process that goes on cannot let go of it
 	}
@@ -424,11 +445,8 @@
 		return true, "draining already"
 	}
 	slog.Info("drain_on")
-	for _, s := range p.servers {
-		s.SetKeepAlivesEnabled(false) // closes the idle, and each answer from now on is the last on its connection
-	}
 	go func() {
-		tick := time.NewTicker(100 * time.Millisecond)
+		tick := time.NewTicker(closeEvery)
 		defer tick.Stop()
 		for p.state.Held.Load() {
 			for _, g := range p.guards {
@@ -449,9 +467,6 @@
 		return true, "serving already"
 	}
 	slog.Info("drain_off")
-	for _, s := range p.servers {
-		s.SetKeepAlivesEnabled(true)
-	}
 	return true, "serving"
 }
 
--- /dev/null
+++ b/internal/clients/conn_test.go
@@ -0,0 +1,208 @@
+package clients
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"rampspread/internal/testkit"
+)
+
+// pair is both ends of a connection.
+func pair(t *testing.T) (server *heard, client *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := newHeard(s, new(atomic.Int64), 4)
+	t.Cleanup(func() { c.Close(); s.Close() })
+	return h, c.(*net.TCPConn)
+}
+
+// A resting connection is closed only while nothing has come on it: bytes that wait in the socket, or were read and are no whole
+// request yet, keep it; what comes after the close is not read.
+func TestCloseCrossesNoRequest(t *testing.T) {
+	waiting := func(h *heard) func() bool { return func() bool { bytes, _ := h.state(); return bytes } }
+	t.Run("bytes wait in the socket", func(t *testing.T) {
+		h, c := pair(t)
+		io.WriteString(c, "POST")
+		testkit.Eventually(t, "the bytes", waiting(h))
+		if h.closeResting() {
+			t.Fatal("closed over unread bytes")
+		}
+		got := make([]byte, 8)
+		if n, err := h.Read(got); string(got[:n]) != "POST" || err != nil {
+			t.Fatalf("read %q, %v", got[:n], err)
+		}
+		if h.closeResting() {
+			t.Fatal("closed with half a request read")
+		}
+		h.whole()
+		if !h.closeResting() {
+			t.Fatal("not closed at rest")
+		}
+	})
+	t.Run("a read is out", func(t *testing.T) {
+		h, c := pair(t)
+		read := make(chan error)
+		go func() { _, err := h.Read(make([]byte, 8)); read <- err }()
+		time.Sleep(10 * time.Millisecond) // so that it waits in the socket, in most runs; either way it must end
+		if !h.closeResting() {
+			t.Fatal("not closed at rest")
+		}
+		io.WriteString(c, "POST")
+		if err := <-read; err == nil {
+			t.Fatal("read after the close")
+		}
+	})
+	t.Run("the client has gone", func(t *testing.T) {
+		h, c := pair(t)
+		io.WriteString(c, "POST")
+		c.Close()
+		testkit.Eventually(t, "the close", func() bool { _, over := h.state(); return over })
+		if !h.closeResting() {
+			t.Fatal("kept for a client that has gone")
+		}
+	})
+}
+
+// serving is a guarded server; its handler reads the body and answers.
+func serving(t *testing.T, state *State, next http.HandlerFunc) (*Guard, string) {
+	t.Helper()
+	g := NewGuard(next, semaphore.NewWeighted(1<<20), state)
+	s := httptest.NewUnstartedServer(nil)
+	g.Attach(s.Config)
+	s.Listener = g.Listen(s.Listener, 64)
+	s.Start()
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return g, s.Listener.Addr().String()
+}
+
+const asks = "POST / HTTP/1.1\r\nHost: b\r\nContent-Length: 1\r\n\r\n1"
+
+// A request that comes as its resting connection is closed is answered, or it was not taken at all: over many crossings, each one that
+// reached the handler has its answer.
+func TestClosedAsARequestComes(t *testing.T) {
+	const crossings = 300
+	var taken, answered atomic.Int64
+	g, addr := serving(t, new(State), func(w http.ResponseWriter, r *http.Request) {
+		if _, _, err := ReadBody(w, r); err == nil {
+			taken.Add(1)
+		}
+	})
+	lost := 0
+	for range crossings {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := bufio.NewReader(c)
+		ask := func() bool {
+			io.WriteString(c, asks)
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			answered.Add(1)
+			return true
+		}
+		if !ask() {
+			t.Fatal("the first request was not answered")
+		}
+		var both sync.WaitGroup
+		both.Go(func() { g.CloseQuiet(time.Hour) })
+		if !ask() {
+			lost++
+		}
+		both.Wait()
+		c.Close()
+	}
+	testkit.Eventually(t, "no open connection", func() bool { return g.Open() == 0 })
+	if taken.Load() != answered.Load() {
+		t.Errorf("%d taken, %d answered, %d not taken", taken.Load(), answered.Load(), lost)
+	}
+}
+
+// The last answer on a connection reaches a client that has sent more, which nobody reads: a plain close over it would reset the connection.
+func TestLastAnswerArrives(t *testing.T) {
+	var state State
+	state.Stopping.Store(true)
+	g, addr := serving(t, &state, func(w http.ResponseWriter, r *http.Request) {
+		ReadBody(w, r)
+		io.WriteString(w, "the answer")
+	})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, asks+strings.Repeat(asks, 1000))
+	got, err := io.ReadAll(c)
+	if text := string(got); err != nil || strings.Count(text, "the answer") != 1 || strings.Count(text, "HTTP/1.1 ") != 1 {
+		t.Errorf("%q, %v", text, err)
+	}
+	testkit.Eventually(t, "no open connection", func() bool { return g.Open() == 0 })
+}
+
+// A client has gone once it closes its connection, also if it has sent ahead, half or whole requests, before that, closes its sending side
+// alone, or resets; its request's context ends. net/http itself looks no further than the first byte sent ahead.
+func TestClientThatSentAheadHasGone(t *testing.T) {
+	ways := map[string]func(c *net.TCPConn){
+		"closes": func(c *net.TCPConn) { c.Close() },
+		"half":   func(c *net.TCPConn) { c.CloseWrite() },
+		"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	}
+	for name, ahead := range map[string]string{"nothing": "", "a byte": "P", "half a request": asks[:30], "many": strings.Repeat(asks, 100)} {
+		for way, leave := range ways {
+			t.Run(name+" ahead, "+way, func(t *testing.T) {
+				in, out := make(chan bool), make(chan error, 1)
+				var calls atomic.Int64
+				_, addr := serving(t, new(State), func(w http.ResponseWriter, r *http.Request) {
+					if _, _, err := ReadBody(w, r); err != nil || calls.Add(1) > 1 {
+						return
+					}
+					in <- true
+					select {
+					case <-r.Context().Done():
+						out <- r.Context().Err()
+					case <-time.After(10 * time.Second):
+						out <- errors.New("never told")
+					}
+				})
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				io.WriteString(c, asks+ahead)
+				<-in
+				leave(c.(*net.TCPConn))
+				if err := <-out; !errors.Is(err, context.Canceled) {
+					t.Error(err)
+				}
+			})
+		}
+	}
+}
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -1,7 +1,6 @@
 package clients
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -48,6 +47,8 @@
 	shed   atomic.Int64
 	closed atomic.Int64
 
+	lingering atomic.Int64 // connections whose last answer is on its way
+
 	mu    sync.Mutex
 	conns map[net.Conn]*conn
 }
@@ -76,6 +77,9 @@
 	k.guard.mu.Lock()
 	defer k.guard.mu.Unlock()
 	k.asked, k.open = true, !k.closed
+	if k.heard != nil {
+		k.heard.whole()
+	}
 	return k.open
 }
 
@@ -114,6 +118,9 @@
 			k.since = time.Now()
 		}
 	case http.StateIdle:
+		if k.heard != nil && !k.open {
+			k.heard.whole() // it was answered without being read whole
+		}
 		k.open, k.idle, k.since = false, true, time.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(g.conns, c)
@@ -126,6 +133,13 @@
 // Listen bounds the connections that l hands out.
 func (g *Guard) Listen(l net.Listener, most int) net.Listener { return &listener{l, g, most} }
 
+// Open is how many connections there are, those with it that only wait for their last answer to arrive.
+func (g *Guard) Open() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns) + int(g.lingering.Load())
+}
+
 // listener goes on accepting when its room is full. It guards against clients that connect and say nothing,
 // or ask once and stay: they would lock all others out.
 type listener struct {
@@ -143,69 +157,7 @@
 	for !l.guard.makeRoom(l.most) {
 		time.Sleep(roomWait)
 	}
-	return &heard{Conn: c}, nil
-}
-
-// heard is a client's connection that knows when its last byte came, so that one that is slowly writing a
-// request is told apart from one that says nothing, and how many lines began with Content-Length.
-type heard struct {
-	net.Conn
-	last    atomic.Int64 // UnixNano of the last read that brought bytes; 0: none yet
-	lengths atomic.Int64
-	at      int // of lengthName, how much of the line that is coming matches; -1: this line does not
-}
-
-// lengthName is what a line begins with that says a body's length, in lower case.
-const lengthName = "content-length:"
-
-// Read implements net.Conn. One goroutine reads a connection at a time.
-func (h *heard) Read(p []byte) (int, error) {
-	n, err := h.Conn.Read(p)
-	if n > 0 {
-		h.last.Store(time.Now().UnixNano())
-		h.scan(p[:n])
-	}
-	return n, err
-}
-
-// scan counts the lines that begin with Content-Length, however the bytes are cut.
-func (h *heard) scan(p []byte) {
-	for len(p) > 0 {
-		if h.at < 0 {
-			end := bytes.IndexByte(p, '\n')
-			if end < 0 {
-				return
-			}
-			p, h.at = p[end+1:], 0
-			continue
-		}
-		c := p[0]
-		if c >= 'A' && c <= 'Z' {
-			c += 'a' - 'A'
-		}
-		switch {
-		case c == '\n': // an empty or short line: the next one begins behind it
-			h.at = 0
-		case c != lengthName[h.at]:
-			h.at = -1
-		case h.at == len(lengthName)-1:
-			h.lengths.Add(1)
-			h.at = -1
-		default:
-			h.at++
-		}
-		p = p[1:]
-	}
-}
-
-// lastByte is when a connection last sent something, or when it came if it has not yet.
-func lastByte(c net.Conn, since time.Time) time.Time {
-	if h, ok := c.(*heard); ok {
-		if at := h.last.Load(); at != 0 && time.Unix(0, at).After(since) {
-			return time.Unix(0, at)
-		}
-	}
-	return since
+	return newHeard(c, &l.guard.lingering, int64(max(l.most/8, 1))), nil
 }
 
 // makeRoom tells whether one more connection has room, once the one that is best missed is closed: the one
@@ -217,34 +169,53 @@
 	if len(g.conns) < most {
 		return true
 	}
-	var silent, idle net.Conn
-	now := time.Now()
-	silentAt, idleAt := now.Add(-silentFor), now.Add(-idleFor)
-	for c, k := range g.conns {
+	busy := map[net.Conn]bool{} // a request is coming on it
+	for {
+		var silent, idle net.Conn
+		now := time.Now()
+		silentAt, idleAt := now.Add(-silentFor), now.Add(-idleFor)
+		for c, k := range g.conns {
+			switch {
+			case k.open || busy[c]:
+			case !k.asked && lastByte(c, k.since).Before(silentAt):
+				// One that goes on writing a request slowly is not silent: what it sends counts from its last byte.
+				silent, silentAt = c, lastByte(c, k.since)
+			case k.asked && k.since.Before(idleAt):
+				idle, idleAt = c, k.since
+			}
+		}
 		switch {
-		case k.open:
-		case !k.asked && lastByte(c, k.since).Before(silentAt):
-			// One that goes on writing a request slowly is not silent: what it sends counts from its last byte.
-			silent, silentAt = c, lastByte(c, k.since)
-		case k.asked && k.since.Before(idleAt):
-			idle, idleAt = c, k.since
+		case silent != nil: // half a request is none, and never will be
+			g.drop(silent)
+			silent.Close()
+		case idle == nil:
+			return false
+		case !rests(idle):
+			busy[idle] = true
+			continue
+		default:
+			g.drop(idle)
 		}
+		g.closed.Add(1)
+		return true
 	}
-	victim := silent
-	if victim == nil {
-		victim = idle
-	}
-	if victim == nil {
-		return false
+}
+
+// rests closes a connection that rests and reports whether it did.
+func rests(c net.Conn) bool {
+	if h, ok := c.(*heard); ok {
+		return h.closeResting()
 	}
-	// Its goroutine tells of the close only later, so it is dropped from the count here.
-	g.conns[victim].closed = true
-	delete(g.conns, victim)
-	victim.Close()
-	g.closed.Add(1)
+	c.Close()
 	return true
 }
 
+// drop takes a connection from the count: its goroutine tells of the close only later. g.mu is held.
+func (g *Guard) drop(c net.Conn) {
+	g.conns[c].closed = true
+	delete(g.conns, c)
+}
+
 // CloseQuiet closes the connections that are idle between requests, and those without an open request that
 // have sent nothing whole for quiet. It is how a drained front sends its clients away without cutting a request:
 // what is open is finished, and its answer is the last on its connection. It returns how many it closed.
@@ -258,8 +229,10 @@
 		if k.open || inHandler || !k.idle && !k.since.Before(silentAt) {
 			continue
 		}
-		k.closed = true
-		delete(g.conns, c)
+		if k.idle && !rests(c) {
+			continue // a request is coming, and its answer will be the last
+		}
+		g.drop(c)
 		c.Close()
 		n++
 	}
@@ -281,6 +254,13 @@
 		g.mu.Lock()
 		k.handled++
 		g.mu.Unlock()
+		if k.heard != nil {
+			ctx, gone := context.WithCancel(r.Context())
+			defer gone()
+			k.heard.watch(gone)
+			defer k.heard.watch(nil)
+			r = r.WithContext(ctx)
+		}
 	}
 	held := g.state.Held.Load()
 	if held || g.state.Stopping.Load() {
