End resting connections by their own reads, refuse what comes too late, take all names from the settings

A stream that had begun before SIGTERM left its connection at rest for up to a tick of 50 ms, and the client sent its next request there; net/http with keep-alives off had closed it at once.

Now a connection that rests while the process ends takes nothing more (heard.read), closers only wake that read, and its own goroutine closes, lingering where an answer left within 0.5 s. A closer passes by where net/http may hold a request that was sent ahead. From 0.7 s after SIGTERM on a request that comes whole is refused: unanswered at the kill it would be lost.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -44,7 +44,8 @@
 	lameDuck    = 500 * time.Millisecond // until idle connections are closed
 	lastCall    = 400 * time.Millisecond // from then until the listener is
 	shutdownFor = 20 * time.Second
-	closeEvery  = 50 * time.Millisecond // between looks for connections that have come to rest
+	tooLate     = 700 * time.Millisecond // a request that comes later and is unanswered as the process is killed is lost
+	closeEvery  = 50 * time.Millisecond  // between looks for connections that have come to rest
 	// For what is given up to be answered, and what is held for it to be let go: a close is told after 10 ms, a release may
 	// have to try a second replica after 30 ms, and what a read left shows within 120 ms.
 	lastWords = 300 * time.Millisecond
@@ -385,6 +386,9 @@
 		}()
 	}
 	time.Sleep(lameDuck)
+	p.state.Closing.Store(true)
+	lateOnes := time.AfterFunc(tooLate-lameDuck, func() { p.state.Late.Store(true) })
+	defer lateOnes.Stop()
 	// The guards close what rests, not the servers' Shutdown: that closes connections on which a request is just being read, and
 	// drops one whose head has been read, without an answer.
 	begun := time.Now()
@@ -402,7 +406,7 @@
 		}
 		open := 0
 		for _, g := range p.guards {
-			g.CloseQuiet(quietFor)
+			g.CloseQuiet(lastCall) // of new connections the last may have come just before the front saw this process go
 			open += g.Open()
 		}
 		if !listening && open == 0 {
--- a/internal/chat/config.go
+++ b/internal/chat/config.go
@@ -14,7 +14,7 @@
 // Config is the chat front's own file, such as deploy/chat.json.
 type Config struct {
 	Listen string
-	// Models maps the model that a client names to a class of the settings.
+	// Models maps the model that a client names to a class of the settings; "*" to "*" offers each class under its own name.
 	Models map[string]string
 	// MaxTokens is asked for where a client names no limit.
 	MaxTokens int `json:"max_tokens"`
@@ -25,6 +25,9 @@
 	}
 }
 
+// all, as a model and as its class, stands for each class of the settings.
+const all = "*"
+
 // ParseConfig decodes and checks the file's text against the settings.
 func ParseConfig(text []byte, settings *wire.Settings) (*Config, error) {
 	var c Config
@@ -37,6 +40,14 @@
 	if len(c.Models) == 0 {
 		return nil, errors.New("chat: no models")
 	}
+	if c.Models[all] == all {
+		delete(c.Models, all)
+		for _, class := range settings.Classes {
+			if _, ok := c.Models[class.Name]; !ok {
+				c.Models[class.Name] = class.Name
+			}
+		}
+	}
 	for model, class := range c.Models {
 		if classIndex(settings, class) < 0 {
 			return nil, fmt.Errorf("chat: model %q: no class %q", model, class)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -203,6 +203,9 @@
 		return nil, http.StatusBadRequest, errors.New("empty")
 	case !open(r):
 		return nil, http.StatusServiceUnavailable, errors.New("the connection gave way")
+	case late(r):
+		w.Header().Set("Retry-After", "0")
+		return nil, http.StatusServiceUnavailable, errors.New("the process ends")
 	}
 	return body, 0, nil
 }
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -27,26 +27,27 @@
 // moment in which its connection is closed is either read, and then answered, or not read at all.
 type heard struct {
 	net.Conn
-	raw       syscall.RawConn // nil where the connection is no socket
-	lingering *atomic.Int64   // connections that wait for their last answer to arrive,
-	most      int64           // and how many may at a time
-	last      atomic.Int64    // UnixNano of the last read that brought bytes; 0: none yet
-	lengths   atomic.Int64
-	at        int // of lengthName, how much of the line that is coming matches; -1: this line does not
+	raw     syscall.RawConn // nil where the connection is no socket
+	guard   *Guard
+	last    atomic.Int64 // UnixNano of the last read that brought bytes; 0: none yet
+	lengths atomic.Int64
+	at      int // of lengthName, how much of the line that is coming matches; -1: this line does not
 
-	mu     sync.Mutex // held while bytes are taken from the socket, so that no close crosses that
-	fresh  bool       // bytes have been read of a request that has not come whole
-	shut   bool       // closed while it rested: nothing is read any more
-	ended  bool       // the client has closed, or the connection broke
-	wrote  bool
-	closed bool
-	ahead  bool        // a byte behind the open request has been read: net/http reads no further, and sees no close
-	gone   func()      // told that the client has gone while its request is open; nil: none is
-	look   *time.Timer // looks for that while the client has sent ahead
+	mu      sync.Mutex  // held while bytes are taken from the socket, so that no close crosses that
+	resting bool        // between requests
+	waits   bool        // net/http waits for bytes of a request: it has none left from before
+	fresh   bool        // bytes have been read of a request that has not come whole
+	shut    bool        // nothing is read any more
+	ended   bool        // the client has closed, or the connection broke
+	closed  bool        // by this side
+	wrote   time.Time   // last; zero: never
+	ahead   bool        // a byte behind the open request has been read: net/http reads no further, and sees no close
+	gone    func()      // told that the client has gone while its request is open; nil: none is
+	look    *time.Timer // looks for that while the client has sent ahead
 }
 
-func newHeard(c net.Conn, lingering *atomic.Int64, most int64) *heard {
-	h := &heard{Conn: c, lingering: lingering, most: most}
+func newHeard(c net.Conn, g *Guard) *heard {
+	h := &heard{Conn: c, guard: g}
 	if s, ok := c.(syscall.Conn); ok {
 		h.raw, _ = s.SyscallConn() // an error comes of a closed connection, which shows as it is read
 	}
@@ -63,16 +64,20 @@
 	return n, err
 }
 
-// read is the socket's Read, but that each of its system calls happens either before or after a close.
+// read is the socket's Read, but that each of its system calls happens either before or after a close, and that nothing more is
+// taken from a connection that rests once the process is about to end.
 func (h *heard) read(p []byte) (n int, err error) {
 	if h.raw == nil || len(p) == 0 {
 		return h.Conn.Read(p)
 	}
+	h.mu.Lock()
+	h.waits = len(p) > 1 // net/http looks with a single byte whether the client of an open request closes
+	h.shut = h.shut || h.resting && h.waits && h.guard.state.Closing.Load()
+	h.mu.Unlock()
 	waited := h.raw.Read(func(fd uintptr) bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.shut {
-			err = net.ErrClosed
 			return true
 		}
 		for {
@@ -87,7 +92,15 @@
 		h.took(n, len(p))
 		return true
 	})
+	h.mu.Lock()
+	h.waits = false
+	shut := h.shut
+	h.mu.Unlock()
 	switch {
+	case n > 0:
+		return n, nil
+	case shut:
+		return 0, io.EOF
 	case waited != nil:
 		var op *net.OpError
 		if errors.As(waited, &op) {
@@ -96,10 +109,8 @@
 		return 0, waited
 	case err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: h.LocalAddr(), Addr: h.RemoteAddr(), Err: os.NewSyscallError("read", err)}
-	case n == 0:
-		return 0, io.EOF
 	}
-	return n, nil
+	return 0, io.EOF
 }
 
 // took notes what a read of at most size bytes brought; h.mu is held. While a request is open net/http reads a single byte to see
@@ -115,7 +126,7 @@
 	}
 }
 
-// watch calls gone, at most once, if the client goes away from now on; whole says that its request has been read.
+// watch calls gone if the client goes away from now on, until it is told of another or of none.
 func (h *heard) watch(gone func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -148,6 +159,13 @@
 	h.fresh = false
 }
 
+// rest notes whether the connection is between requests.
+func (h *heard) rest(resting bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.resting = resting
+}
+
 // state asks the socket whether bytes wait to be read, and whether the client has closed or the connection has broken, whatever
 // waits before that.
 func (h *heard) state() (bytes, over bool) {
@@ -170,17 +188,20 @@
 	return bytes, over || err != nil
 }
 
-// closeResting closes a connection that rests, unless a request has begun to come: then it returns false, and the request is
-// served. What comes later has not been read, and the client sends it anew.
-func (h *heard) closeResting() bool {
+// closeResting ends a connection on which no request has begun to come, and reports whether it did. What comes later is not read,
+// and the client sends it anew. Bytes that wait to be read keep the connection, to be served, unless over says that it ends over them:
+// a process that is about to be killed might not answer.
+func (h *heard) closeResting(over bool) bool {
 	h.mu.Lock()
-	if bytes, over := h.state(); h.fresh || bytes && !over {
-		h.mu.Unlock()
+	defer h.mu.Unlock()
+	if !h.waits || h.fresh {
+		return false
+	}
+	if bytes, left := h.state(); bytes && !left && !over {
 		return false
 	}
 	h.shut = true
-	h.mu.Unlock()
-	h.Conn.Close() // waits for a Read that is out, which takes the lock
+	h.Conn.SetReadDeadline(time.Unix(1, 0)) // net/http's Read ends, and its goroutine closes the connection
 	return true
 }
 
@@ -189,27 +210,28 @@
 	n, err := h.Conn.Write(p)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.wrote, h.ended = true, h.ended || err != nil
+	h.wrote, h.ended = time.Now(), h.ended || err != nil
 	return n, err
 }
 
 // Close implements net.Conn. Where an answer may still be on its way only the sending side ends at once; nothing is read any more.
 func (h *heard) Close() error {
 	h.mu.Lock()
-	lingers := h.wrote && !h.ended && !h.shut && !h.closed
+	left := time.Until(h.wrote.Add(lingerFor))
+	lingers := left > 0 && !h.ended && !h.closed
 	h.shut, h.closed, h.gone = true, true, nil
 	h.mu.Unlock()
 	half, ok := h.Conn.(interface{ CloseWrite() error })
-	if _, over := h.state(); !lingers || over || !ok {
+	if _, over := h.state(); !lingers || over || !ok || !h.guard.linger(1) {
 		return h.Conn.Close()
 	}
-	if h.lingering.Add(1) > h.most || half.CloseWrite() != nil {
-		h.lingering.Add(-1)
+	if half.CloseWrite() != nil {
+		h.guard.linger(-1)
 		return h.Conn.Close()
 	}
-	time.AfterFunc(lingerFor, func() {
+	time.AfterFunc(left, func() {
 		h.Conn.Close()
-		h.lingering.Add(-1)
+		h.guard.linger(-1)
 	})
 	return nil
 }
--- a/internal/clients/conn_test.go
+++ b/internal/clients/conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -35,53 +36,79 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := newHeard(s, new(atomic.Int64), 4)
+	h := newHeard(s, NewGuard(nil, nil, new(State)))
 	t.Cleanup(func() { c.Close(); s.Close() })
 	return h, c.(*net.TCPConn)
 }
 
-// A resting connection is closed only while nothing has come on it: bytes that wait in the socket, or were read and are no whole
-// request yet, keep it; what comes after the close is not read.
+// A resting connection is closed only while nothing has come on it: bytes that were read and are no whole request yet keep it, and so do
+// bytes that wait in the socket, unless the process ends; what comes after the close is not read.
 func TestCloseCrossesNoRequest(t *testing.T) {
-	waiting := func(h *heard) func() bool { return func() bool { bytes, _ := h.state(); return bytes } }
-	t.Run("bytes wait in the socket", func(t *testing.T) {
-		h, c := pair(t)
+	come := func(t *testing.T, h *heard, c net.Conn) {
 		io.WriteString(c, "POST")
-		testkit.Eventually(t, "the bytes", waiting(h))
-		if h.closeResting() {
-			t.Fatal("closed over unread bytes")
-		}
-		got := make([]byte, 8)
-		if n, err := h.Read(got); string(got[:n]) != "POST" || err != nil {
-			t.Fatalf("read %q, %v", got[:n], err)
-		}
-		if h.closeResting() {
-			t.Fatal("closed with half a request read")
+		testkit.Eventually(t, "the bytes", func() bool { bytes, _ := h.state(); return bytes })
+	}
+	for over, want := range map[bool]string{false: "POST", true: ""} {
+		t.Run(fmt.Sprintf("bytes wait in the socket, over them %t", over), func(t *testing.T) {
+			h, c := pair(t)
+			come(t, h, c)
+			h.waits = true // a Read has begun, and has not come to its system call
+			if h.closeResting(over) != over {
+				t.Fatalf("closed over unread bytes %t", !over)
+			}
+			if n, err := h.Read(make([]byte, 8)); n != len(want) || (err == nil) == over {
+				t.Fatalf("read %d bytes, %v", n, err)
+			}
+		})
+	}
+	t.Run("half a request is read", func(t *testing.T) {
+		h, c := pair(t)
+		come(t, h, c)
+		h.Read(make([]byte, 8))
+		h.waits = true // for the rest
+		if h.closeResting(true) {
+			t.Fatal("closed over half a request")
 		}
 		h.whole()
-		if !h.closeResting() {
+		if !h.closeResting(false) {
 			t.Fatal("not closed at rest")
 		}
 	})
+	t.Run("net/http holds a request that was sent ahead", func(t *testing.T) {
+		h, c := pair(t)
+		come(t, h, c)
+		h.Read(make([]byte, 8))
+		h.whole()
+		if h.closeResting(true) {
+			t.Fatal("closed while nobody waits for bytes")
+		}
+	})
 	t.Run("a read is out", func(t *testing.T) {
 		h, c := pair(t)
 		read := make(chan error)
 		go func() { _, err := h.Read(make([]byte, 8)); read <- err }()
-		time.Sleep(10 * time.Millisecond) // so that it waits in the socket, in most runs; either way it must end
-		if !h.closeResting() {
-			t.Fatal("not closed at rest")
-		}
+		testkit.Eventually(t, "the close", func() bool { return h.closeResting(false) })
 		io.WriteString(c, "POST")
 		if err := <-read; err == nil {
 			t.Fatal("read after the close")
 		}
 	})
+	t.Run("the process ends", func(t *testing.T) {
+		h, c := pair(t)
+		come(t, h, c)
+		h.guard.state.Closing.Store(true)
+		h.rest(true)
+		if n, err := h.Read(make([]byte, 8)); n != 0 || err == nil {
+			t.Fatalf("read %d bytes, %v", n, err)
+		}
+	})
 	t.Run("the client has gone", func(t *testing.T) {
 		h, c := pair(t)
-		io.WriteString(c, "POST")
+		come(t, h, c)
 		c.Close()
-		testkit.Eventually(t, "the close", func() bool { _, over := h.state(); return over })
-		if !h.closeResting() {
+		testkit.Eventually(t, "the client's close", func() bool { _, over := h.state(); return over })
+		h.waits = true
+		if !h.closeResting(false) {
 			t.Fatal("kept for a client that has gone")
 		}
 	})
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -32,6 +32,11 @@
 	// Stopping is set on SIGTERM: each answer is the last on its connection. GET /healthz still says yes,
 	// since a process that replaces this one may share its address and the front cannot tell them apart.
 	Stopping atomic.Bool
+	// Closing is set some time later: connections end as they come to rest, over what is not read yet, since the process may be
+	// killed before it has answered that.
+	Closing atomic.Bool
+	// Late is set when a request may no longer be answered before the process is killed: one that comes whole is refused.
+	Late atomic.Bool
 	// Held is the operator's drain: GET /healthz says no, and connections end as soon as they are idle.
 	Held atomic.Bool
 }
@@ -47,7 +52,8 @@
 	shed   atomic.Int64
 	closed atomic.Int64
 
-	lingering atomic.Int64 // connections whose last answer is on its way
+	lingering atomic.Int64 // connections whose last answer is on its way,
+	lingers   atomic.Int64 // and how many may be at a time
 
 	mu    sync.Mutex
 	conns map[net.Conn]*conn
@@ -83,6 +89,16 @@
 	return k.open
 }
 
+// late tells whether a request has come too late to be taken: the process may be killed before it has answered it.
+func late(r *http.Request) bool {
+	k, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || !k.guard.state.Late.Load() {
+		return false
+	}
+	k.guard.shed.Add(1)
+	return true
+}
+
 // NewGuard guards next. The fronts of a program share bodies, in bytes, and state.
 func NewGuard(next http.Handler, bodies *semaphore.Weighted, state *State) *Guard {
 	return &Guard{next: next, bodies: bodies, state: state, conns: map[net.Conn]*conn{}}
@@ -114,12 +130,18 @@
 	case http.StateActive:
 		k.begun++
 		k.idle = false
+		if k.heard != nil {
+			k.heard.rest(false)
+		}
 		if k.asked {
 			k.since = time.Now()
 		}
 	case http.StateIdle:
-		if k.heard != nil && !k.open {
-			k.heard.whole() // it was answered without being read whole
+		if k.heard != nil {
+			if !k.open {
+				k.heard.whole() // it was answered without being read whole
+			}
+			k.heard.rest(true)
 		}
 		k.open, k.idle, k.since = false, true, time.Now()
 	case http.StateClosed, http.StateHijacked:
@@ -131,7 +153,19 @@
 }
 
 // Listen bounds the connections that l hands out.
-func (g *Guard) Listen(l net.Listener, most int) net.Listener { return &listener{l, g, most} }
+func (g *Guard) Listen(l net.Listener, most int) net.Listener {
+	g.lingers.Store(int64(max(most/8, 1)))
+	return &listener{l, g, most}
+}
+
+// linger counts connections that wait for their last answer to arrive, one more or one less; it returns false if there may be no more.
+func (g *Guard) linger(n int64) bool {
+	if g.lingering.Add(n) <= g.lingers.Load() {
+		return true
+	}
+	g.lingering.Add(-n)
+	return false
+}
 
 // Open is how many connections there are, those with it that only wait for their last answer to arrive.
 func (g *Guard) Open() int {
@@ -157,7 +191,7 @@
 	for !l.guard.makeRoom(l.most) {
 		time.Sleep(roomWait)
 	}
-	return newHeard(c, &l.guard.lingering, int64(max(l.most/8, 1))), nil
+	return newHeard(c, l.guard), nil
 }
 
 // makeRoom tells whether one more connection has room, once the one that is best missed is closed: the one
@@ -190,7 +224,7 @@
 			silent.Close()
 		case idle == nil:
 			return false
-		case !rests(idle):
+		case !rests(idle, false):
 			busy[idle] = true
 			continue
 		default:
@@ -201,10 +235,10 @@
 	}
 }
 
-// rests closes a connection that rests and reports whether it did.
-func rests(c net.Conn) bool {
+// rests closes a connection that rests and reports whether it did; over says that unread bytes do not keep it.
+func rests(c net.Conn, over bool) bool {
 	if h, ok := c.(*heard); ok {
-		return h.closeResting()
+		return h.closeResting(over)
 	}
 	c.Close()
 	return true
@@ -223,18 +257,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	silentAt := time.Now().Add(-quiet)
+	closing := g.state.Closing.Load()
 	n := 0
 	for c, k := range g.conns {
 		inHandler := !k.idle && k.begun > 0 && k.handled == k.begun
-		if k.open || inHandler || !k.idle && !k.since.Before(silentAt) {
-			continue
-		}
-		if k.idle && !rests(c) {
-			continue // a request is coming, and its answer will be the last
+		switch {
+		case k.closed || k.open || inHandler || !k.idle && !k.since.Before(silentAt):
+		case rests(c, closing):
+			k.closed = true // it is counted until its goroutine has closed it
+			n++
+		case !k.idle && !closing: // half a request is none, and never will be
+			g.drop(c)
+			c.Close()
+			n++
 		}
-		g.drop(c)
-		c.Close()
-		n++
 	}
 	return n
 }
@@ -242,7 +278,7 @@
 // Bad is how many requests had heads that were cut short or malformed, or bodies of no use.
 func (g *Guard) Bad() int64 { return g.bad.Load() }
 
-// Shed is how many requests were refused since too many bodies were in memory.
+// Shed is how many requests were refused since too many bodies were in memory, or since they came too late before the process's end.
 func (g *Guard) Shed() int64 { return g.shed.Load() }
 
 // Closed is how many connections were closed to make room.
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -47,7 +47,7 @@
 func (d *Demo) Commands() []string {
 	chat := d.run.addrs.chat(0)
 	return []string{
-		fmt.Sprintf(`curl -N %s/v1/chat/completions -d '{"model":"parzellen-frage","stream":true,"messages":[{"role":"user","content":"Who owns plot 7?"}]}'`, chat),
+		fmt.Sprintf(`curl -N %s/v1/chat/completions -d '{"model":"question","stream":true,"messages":[{"role":"user","content":"Who owns plot 7?"}]}'`, chat),
 		fmt.Sprintf(`%s call -at %s check`, d.run.options.Program, d.run.addrs.ops(0)),
 	}
 }
--- a/internal/rig/deployment.go
+++ b/internal/rig/deployment.go
@@ -37,7 +37,7 @@
 
 // usual is the deployment that the rig's scenarios were made for.
 func usual(zones int) *deployment {
-	d := &deployment{classes: classes, kinds: []kind{{"prefill", false}, {"decode-a", true}}, pushed: true, reports: true, probes: true,
+	d := &deployment{classes: classes, kinds: []kind{{"reader", false}, {"writer", true}}, pushed: true, reports: true, probes: true,
 		tries: triesUsual, connect: 250 * time.Millisecond, binds: 500 * time.Millisecond, release: 300 * time.Millisecond, retry: true}
 	for z := range zones {
 		d.zones = append(d.zones, fmt.Sprintf("zone-%c", 'a'+z))
--- a/internal/rig/filings.go
+++ b/internal/rig/filings.go
@@ -101,7 +101,7 @@
 
 // try sends a key's filing to one dispatcher.
 func (f *filer) try(ctx context.Context, d int, key string) {
-	body := fmt.Sprintf(`{"model":"korrektur-meldung","messages":[{"role":"user","content":%q}]}`, key)
+	body := fmt.Sprintf(`{"model":"filing","messages":[{"role":"user","content":%q}]}`, key)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.run.addrs.chat(d)+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		return
--- a/internal/rig/traffic.go
+++ b/internal/rig/traffic.go
@@ -35,10 +35,10 @@
 }
 
 var classes = []*class{
-	{name: "parzellen-frage", share: 0.8, worth: 1, effect: "retryable", safe: true, aim: 1200 * time.Millisecond, deadline: 5 * time.Second,
-		token: 60 * time.Millisecond, prompt: 2600, output: 60, turns: 3},
-	{name: "korrektur-meldung", share: 0.2, worth: 2, effect: "fragile", aim: 3 * time.Second, deadline: 15 * time.Second,
-		token: 80 * time.Millisecond, prompt: 4200, output: 40, turns: 5},
+	{name: "question", share: 0.8, worth: 1, effect: "retryable", safe: true, aim: 1100 * time.Millisecond, deadline: 4800 * time.Millisecond,
+		token: 65 * time.Millisecond, prompt: 2600, output: 60, turns: 3},
+	{name: "filing", share: 0.2, worth: 2, effect: "fragile", aim: 2800 * time.Millisecond, deadline: 14 * time.Second,
+		token: 85 * time.Millisecond, prompt: 4200, output: 40, turns: 5},
 }
 
 // spec is one first try, drawn ahead.
