Take nothing more that a client sent ahead once it has gone, and start within 2 s of a silent agent

Seen by TestFloodOnOneConnection: of a client that sent 300 requests at once and left during the first, the second was read out of net/http's buffer and sent on. Once the client is seen to have gone, open refuses what it had sent ahead.

A start waited for a silent agent as long as news has to bind, whatever the settings say of that: 60 s in the test. Now 2 s at most.

--- a/cmd/rampspread/serve.go
+++ b/cmd/rampspread/serve.go
@@ -44,6 +44,7 @@
 	lameDuck    = 500 * time.Millisecond // until idle connections are closed
 	lastCall    = 400 * time.Millisecond // from then until the listener is
 	shutdownFor = 20 * time.Second
+	startMost   = 2 * time.Second        // that a start waits for its list: nine in ten have 6 s in all, on a busy machine too
 	tooLate     = 700 * time.Millisecond // a request that comes later and is unanswered as the process is killed is lost
 	closeEvery  = 50 * time.Millisecond  // between looks for connections that have come to rest
 	// For what is given up to be answered, and what is held for it to be let go: a close is told after 10 ms, a release may
@@ -248,10 +249,10 @@
 
 	if cfg.Settings.Pushed() {
 		// The list of the start may be old, and what the agent has counts as told from the first moment on. It tells it
-		// at once; one that is silent is waited for no longer than news has to bind.
+		// at once; one that is silent is waited for no longer than news has to bind, nor than a restart may take.
 		select {
 		case <-p.watch.Confirmed():
-		case <-time.After(cfg.Settings.Binds()):
+		case <-time.After(min(cfg.Settings.Binds(), startMost)):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -38,7 +38,7 @@
 	waits   bool        // net/http waits for bytes of a request: it has none left from before
 	fresh   bool        // bytes have been read of a request that has not come whole
 	shut    bool        // nothing is read any more
-	ended   bool        // the client has closed, or the connection broke
+	ended   bool        // the client has closed, or the connection broke: what it sent ahead is not taken any more
 	closed  bool        // by this side
 	wrote   time.Time   // last; zero: never
 	ahead   bool        // a byte behind the open request has been read: net/http reads no further, and sees no close
@@ -141,6 +141,7 @@
 	_, over := h.state()
 	h.mu.Lock()
 	gone := h.gone
+	h.ended = h.ended || over
 	if gone == nil || !h.ahead || over {
 		h.look = nil
 	} else {
@@ -152,11 +153,13 @@
 	}
 }
 
-// whole notes that what has been read belongs to a request that has come whole, or to none.
-func (h *heard) whole() {
+// whole notes that what has been read belongs to a request that has come whole, or to none. It returns false if its client is known
+// to have gone.
+func (h *heard) whole() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.fresh = false
+	return !h.ended
 }
 
 // rest notes whether the connection is between requests.
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -74,7 +74,8 @@
 
 type connKey struct{}
 
-// open marks a request as whole: from now on its connection does not give way. It returns false if it has.
+// open marks a request as whole: from now on its connection does not give way. It returns false if it has, or if the client has gone:
+// net/http goes on with what it sent ahead.
 func open(r *http.Request) bool {
 	k, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
@@ -83,8 +84,8 @@
 	k.guard.mu.Lock()
 	defer k.guard.mu.Unlock()
 	k.asked, k.open = true, !k.closed
-	if k.heard != nil {
-		k.heard.whole()
+	if k.heard != nil && !k.heard.whole() {
+		k.open = false
 	}
 	return k.open
 }
