Reckon a cold writer's part by the readers that answer too, in place of counting every state

With every state counted a router's credit for a cold writer mostly fell due between two states of that writer's cell, and waited for the next: one router of 300 sees a cell's states some seconds apart.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,12 +1,9 @@
 package decide
 
-// The interface of this module (Config, events, actions) is in decide/api.go.
-//
 // The ordinary path is predictive TTFT-budget admission control: the best time to first token
 // over all readers is estimated before any read; a non-critical request whose best estimate exceeds
 // its budget is refused; the others go to the reader with the lowest estimate and then to the
 // writer with most room in that reader's cell.
-//
 // A router may be one of many and hear little of any one server. Evidence is therefore pooled: a
 // server's figure leans on that of all servers of its role as far as its own evidence is thin.
 
@@ -265,15 +262,15 @@
 }
 
 // coldTurn guards against cold servers being pushed over by all routers together: of the requests that
-// look for a server of its role, a set part may use the cold one. Each router counts that part from a start
-// drawn from the seed, so all together stay at a set part of the server's even share of all sends; ahead is
-// how many it may use before their time. It could do harm when few but cold servers are left.
-func (r *Router) coldTurn(s *server, q *request, ahead float64) bool {
+// come to ask, flow of all, a set part may use the cold one. Each router counts that part from a start drawn
+// from the seed, so all together stay at a set part of the server's even share of all sends; ahead is how
+// many it may use before their time. It could do harm when few but cold servers are left.
+func (r *Router) coldTurn(s *server, q *request, flow, ahead float64) bool {
 	if first := q.sends == 0 || q.sends == 1 && q.phase == read; !first || r.now != q.lookAt {
 		return false // further attempts and looks ask for no more than the first
 	}
 	even := coldPart * r.cfg.FallMultiple * r.warmth(s) / float64(max(r.most[s.role], 1))
-	s.turn = min(s.turn+even, 2-ahead)
+	s.turn = min(s.turn+even/flow, 2-ahead)
 	return s.turn+ahead >= 1
 }
 
@@ -608,7 +605,7 @@
 				continue
 			}
 			cold, tried := r.warmth(s) < 1, slices.Contains(q.tried, s.ID)
-			if cold && !(healthy && r.coldTurn(s, q, r.ahead(q))) {
+			if cold && !(healthy && r.coldTurn(s, q, 1, r.ahead(q))) {
 				continue
 			}
 			c := choice{server: s, rank: r.homeRank(s, q, homes)}
@@ -708,8 +705,11 @@
 		}
 		near := from != nil && s.cell == from.cell
 		if r.warmth(s) < 1 {
-			// Each state counts, from whichever cell: a cell's part of all may change at once.
-			if !r.coldTurn(s, q, 0) || s.cell.sends > 0 && (!near || spill) {
+			flow := 1.0 // the part of all states that the cell's readers send, also if others do not answer
+			if s.cell.sends > 0 {
+				flow = max(s.cell.sends/r.every.sends, s.cell.readers/max(r.every.readers, 1e-9))
+			}
+			if s.cell.sends > 0 && (!near || spill) || !r.coldTurn(s, q, flow, 0) {
 				continue
 			}
 			s.turn--
