Count a connection that lingers once, also as others are turned away in the same moment

Found by reading the change again: the count was taken down by the same call that takes it up, which undoes itself where the count is over the limit. While others are just being turned away it is, for a moment, and one would have been counted for good: the drain would then have waited its 20 s. TestLingeringIsCountedOnce, which shows a count left over with that call in its loop.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -225,16 +225,16 @@
 	h.shut, h.closed, h.gone = true, true, nil
 	h.mu.Unlock()
 	half, ok := h.Conn.(interface{ CloseWrite() error })
-	if _, over := h.state(); !lingers || over || !ok || !h.guard.linger(1) {
+	if _, over := h.state(); !lingers || over || !ok || !h.guard.linger() {
 		return h.Conn.Close()
 	}
 	if half.CloseWrite() != nil {
-		h.guard.linger(-1)
+		h.guard.lingering.Add(-1)
 		return h.Conn.Close()
 	}
 	time.AfterFunc(left, func() {
 		h.Conn.Close()
-		h.guard.linger(-1)
+		h.guard.lingering.Add(-1)
 	})
 	return nil
 }
--- a/internal/clients/conn_test.go
+++ b/internal/clients/conn_test.go
@@ -193,6 +193,27 @@
 	testkit.Eventually(t, "no open connection", func() bool { return g.Open() == 0 })
 }
 
+// The count of connections that wait for their last answer comes back to none, also if many ask for more than there may be in the same moment as
+// others end: the drain waits for it.
+func TestLingeringIsCountedOnce(t *testing.T) {
+	g := NewGuard(nil, nil, new(State))
+	g.lingers.Store(2)
+	var all sync.WaitGroup
+	for range 16 {
+		all.Go(func() {
+			for range 50000 {
+				if g.linger() {
+					g.lingering.Add(-1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if n := g.Open(); n != 0 {
+		t.Errorf("%d are counted at the end", n)
+	}
+}
+
 // A client has gone once it closes its connection, also if it has sent ahead, half or whole requests, before that, closes its sending side
 // alone, or resets; its request's context ends. net/http itself looks no further than the first byte sent ahead.
 func TestClientThatSentAheadHasGone(t *testing.T) {
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -159,12 +159,13 @@
 	return &listener{l, g, most}
 }
 
-// linger counts connections that wait for their last answer to arrive, one more or one less; it returns false if there may be no more.
-func (g *Guard) linger(n int64) bool {
-	if g.lingering.Add(n) <= g.lingers.Load() {
+// linger counts one more connection that waits for its last answer to arrive, until its close takes it from the count; it returns
+// false, and counts none, if there may be no more.
+func (g *Guard) linger() bool {
+	if g.lingering.Add(1) <= g.lingers.Load() {
 		return true
 	}
-	g.lingering.Add(-n)
+	g.lingering.Add(-1)
 	return false
 }
 
