--- /dev/null
+++ b/internal/core/retold_test.go
@@ -0,0 +1,34 @@
+package core_test
+
+import (
+	"context"
+	"reflect"
+	"testing"
+	"time"
+
+	"rampspread/decide"
+	"rampspread/internal/core"
+)
+
+// A list that is told again, as after a move of discovery, is the same list: what was learnt of a server stays, and so does how far
+// its part of a cold server's budget is used up.
+func TestListToldAgainChangesNothing(t *testing.T) {
+	_, c := start(t)
+	list := []core.Listing{
+		{Name: "r1", Kind: 0, State: decide.Ready, Weight: 1, Started: time.Now().Add(-time.Second)},
+		{Name: "w1", Kind: 1, State: decide.Ready, Weight: 1, Started: time.Now().Add(-time.Hour)},
+	}
+	var first []decide.ServerBelief
+	for n := range 5 {
+		c.Roster(true, list)
+		b, ok := c.Beliefs(context.Background(), 0)
+		if !ok || len(b.Servers) != len(list) {
+			t.Fatalf("%d servers, %t", len(b.Servers), ok)
+		}
+		if n == 0 {
+			first = b.Servers
+		} else if !reflect.DeepEqual(first, b.Servers) {
+			t.Fatalf("told again:\n%+v\nat first:\n%+v", b.Servers, first)
+		}
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -13,4 +13,14 @@
 go tool staticcheck ./...
 awk '{ line = $0; gsub(/\t/, "    ", line); if (length(line) > 110) { print FILENAME ":" FNR ": over 110 characters"; bad = 1 } }
 	END { exit bad }' decide/{decide,roster,cold,health,estimate,admit,write,outcome,answer}.go
-go test -race -timeout 420s ./...
+# Tests of real faults that are not mended yet, one line each: name, cause, issue. They are passed over and printed.
+known_red=$(cut -d: -f1 KNOWN-RED.txt 2>/dev/null | paste -sd '|')
+if [ -n "$known_red" ]; then
+	if [ "$(wc -l <KNOWN-RED.txt)" -gt 3 ]; then
+		echo "KNOWN-RED.txt: over three lines" >&2
+		exit 1
+	fi
+	echo "known failures, passed over:"
+	cat KNOWN-RED.txt
+fi
+go test -race -timeout 420s ${known_red:+-skip "^($known_red)\$"} ./...
