--- /dev/null
+++ b/cmd/rampspread-faults/main.go
@@ -0,0 +1,12 @@
+// Command rampspread-faults is the dispatcher on a machine whose clock steps and whose system calls fail as the file says that
+// RAMPSPREAD_FAULTS names. The soak runs it; it serves nobody else.
+package main
+
+import (
+	"os"
+
+	"rampspread/internal/program"
+	"rampspread/internal/system"
+)
+
+func main() { os.Exit(program.Main(system.NewFaulty(os.Getenv("RAMPSPREAD_FAULTS")))) }
--- a/decide/admit.go
+++ b/decide/admit.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if e.Class < 0 || e.Class >= len(r.cfg.Classes) {
-		r.emit(Fail{e.Request})
+		r.emit(Fail{e.Request, UnknownClass})
 		return
 	}
 	c := r.cfg.Classes[e.Class]
@@ -50,12 +50,16 @@
 
 // advance moves a request that has no attempt out.
 func (r *Router) advance(q *request) {
-	if q.sends >= r.attempts(q) || r.now+answerBefore >= q.deadline {
-		r.giveUp(q, 0)
+	if q.sends >= r.attempts(q) {
+		r.giveUp(q, NoAttempt, 0)
+		return
+	}
+	if r.now+answerBefore >= q.deadline {
+		r.giveUp(q, NoTime, 0)
 		return
 	}
 	if !r.mayRepeat(q) {
-		r.giveUp(q, toMS(r.cfg.MaxRetryAfter))
+		r.giveUp(q, NoRepeat, toMS(r.cfg.MaxRetryAfter))
 		return
 	}
 	if q.phase == read {
@@ -66,9 +70,9 @@
 }
 
 // pause holds a request for a moment, unless what it holds would be pinned or its time ran out.
-func (r *Router) pause(q *request, limit time.Duration) {
+func (r *Router) pause(q *request, why Why, limit time.Duration) {
 	if r.now+2*retryPause >= min(limit, q.deadline-answerBefore) {
-		r.giveUp(q, 0)
+		r.giveUp(q, why, 0)
 		return
 	}
 	r.emit(Wake{retryPause, TimerID(q.Request)})
@@ -77,7 +81,7 @@
 // toReader applies the admission test and sends the request to the reader with the lowest estimate.
 func (r *Router) toReader(q *request) {
 	if q.sends+2 > r.attempts(q) {
-		r.giveUp(q, 0)
+		r.giveUp(q, NoAttempt, 0)
 		return
 	}
 	if r.asks(q) {
@@ -89,11 +93,11 @@
 			r.toWriter(q)
 			return
 		}
-		r.pause(q, q.at+q.aim)
+		r.pause(q, NoReader, q.at+q.aim)
 		return
 	}
 	if !r.admit(q, c.queue, c.cost) {
-		r.giveUp(q, c.queue+c.cost-toMS(q.aim))
+		r.giveUp(q, OverBudget, c.queue+c.cost-toMS(q.aim))
 		return
 	}
 	s, est := c.server, fromMS(c.queue+c.cost)
--- a/decide/api.go
+++ b/decide/api.go
@@ -242,6 +242,21 @@
 func (ClientGone) event() {}
 func (Timer) event()      {}
 
+// Why says what a request was refused or failed for, in logs and counters.
+type Why string
+
+// The reasons.
+const (
+	NoAttempt    Why = "no_attempt_left"
+	NoTime       Why = "no_time_left"
+	NoRepeat     Why = "repeats_used_up" // of what all routers may send again
+	NoReader     Why = "no_reader"
+	NoWriter     Why = "no_writer"
+	OverBudget   Why = "over_budget" // it would be late
+	MayHaveRun   Why = "may_have_run"
+	UnknownClass Why = "unknown_class"
+)
+
 // Action is something for the router's host to carry out, in order.
 type Action interface{ action() }
 
@@ -261,9 +276,13 @@
 	Refuse struct {
 		Request    RequestID
 		RetryAfter time.Duration
+		Why        Why
 	}
 	// Fail is a final answer without a promise.
-	Fail struct{ Request RequestID }
+	Fail struct {
+		Request RequestID
+		Why     Why
+	}
 	// Cancel stops waiting for one attempt.
 	Cancel struct {
 		Request RequestID
--- a/decide/golden_test.go
+++ b/decide/golden_test.go
@@ -17,7 +17,14 @@
 		d := newDriver(t, seed)
 		d.spoil = func(a Action) []Action {
 			actions++
-			fmt.Fprintf(hash, "%d %T %+v\n", d.now, a, a)
+			switch plain := a.(type) { // what an answer is for is told only in logs
+			case Refuse:
+				fmt.Fprintf(hash, "%d %T {Request:%d RetryAfter:%v}\n", d.now, a, plain.Request, plain.RetryAfter)
+			case Fail:
+				fmt.Fprintf(hash, "%d %T {Request:%d}\n", d.now, a, plain.Request)
+			default:
+				fmt.Fprintf(hash, "%d %T %+v\n", d.now, a, a)
+			}
 			return []Action{a}
 		}
 		d.run(d.now + 40*time.Second)
--- a/decide/outcome.go
+++ b/decide/outcome.go
@@ -151,7 +151,7 @@
 	}
 	q.tried = append(q.tried, e.Server)
 	if q.ran && r.cfg.Classes[q.Class].Effect == Unsafe {
-		r.giveUp(q, 0)
+		r.giveUp(q, MayHaveRun, 0)
 		return
 	}
 	q.phase = read
--- a/internal/chat/chat.go
+++ b/internal/chat/chat.go
@@ -150,6 +150,7 @@
 		f.run(w, r.Context(), j)
 		return
 	}
+	j.req.Finish = true
 	key := r.Header.Get("Idempotency-Key")
 	if key == "" || len(key) > 255 {
 		f.reject(w, invalid(http.StatusBadRequest, "idempotency_key_missing",
@@ -163,7 +164,7 @@
 	}
 	switch v {
 	case fresh:
-		f.file(w, j, key, try)
+		f.file(w, r.Context(), j, key, try)
 	case answered:
 		w.Header().Set("Idempotent-Replayed", "true")
 		f.replay(w, j, known)
@@ -189,12 +190,13 @@
 	}
 }
 
-// file runs a filing's first try. It goes on if the client leaves, so that a repeat can be answered.
-func (f *Front) file(w http.ResponseWriter, j *job, key string, try claim.Try) {
+// file runs a filing's first try. If the client leaves, what was sent to a writer goes on to its end, so that a repeat can be answered;
+// no further attempt begins.
+func (f *Front) file(w http.ResponseWriter, client context.Context, j *job, key string, try claim.Try) {
 	var answer *completion
 	ran := true // also if what follows panics
 	defer func() { f.note(key, try, answer, ran) }()
-	answer, ran = f.run(w, context.Background(), j)
+	answer, ran = f.run(w, client, j)
 }
 
 // read checks a request and says what the core is to decide by.
@@ -217,6 +219,7 @@
 		filing: f.classes[class].Effect != decide.Safe}
 	j.req = core.Request{Class: class, Call: core.Call{ID: hex.EncodeToString(id), Method: http.MethodPost,
 		Target: path, Type: "application/json", Body: out}}
+	j.req.Gone = clients.Gone(r)
 	a.fill(&j.req, f.config.MaxTokens, clients.Key)
 	// The class's deadline grows by twice what its aim grows for a long prompt.
 	wait := wire.FromMS(f.settings.Classes[class].HardLimitMs) +
@@ -245,6 +248,10 @@
 			Message: "the service is busy; nothing was run"})
 		return nil, false
 	case core.Left:
+		if j.filing { // it has not run, and its key is free again
+			writeError(w, &apiError{status: http.StatusServiceUnavailable, Type: "server_error", Code: "client_gone", Message: "nothing was run"})
+			return nil, false
+		}
 		panic(http.ErrAbortHandler)
 	}
 	e := &apiError{status: http.StatusBadGateway, Type: "server_error", Code: "upstream_failed",
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -17,6 +17,7 @@
 
 	"rampspread/decide"
 	"rampspread/internal/core"
+	"rampspread/internal/permit"
 	"rampspread/internal/state/beside"
 	"rampspread/internal/wire"
 )
@@ -178,6 +179,7 @@
 	if err != nil {
 		return fail(status, "body: %v", err)
 	}
+	req.Gone = Gone(r)
 	req.Call = core.Call{ID: id, Method: r.Method, Target: r.URL.RequestURI(), Type: h.Get("Content-Type"), Body: body}
 	return req, 0, nil
 }
@@ -201,11 +203,10 @@
 		return nil, http.StatusBadRequest, fmt.Errorf("cut short: %w", err)
 	case len(body) == 0:
 		return nil, http.StatusBadRequest, errors.New("empty")
-	case !open(r):
-		return nil, http.StatusServiceUnavailable, errors.New("the connection gave way")
-	case late(r):
+	}
+	if why := take(r); why != permit.Allowed {
 		w.Header().Set("Retry-After", "0")
-		return nil, http.StatusServiceUnavailable, errors.New("the process ends")
+		return nil, http.StatusServiceUnavailable, fmt.Errorf("not taken: %v", why)
 	}
 	return body, 0, nil
 }
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -12,24 +12,27 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"rampspread/internal/permit"
 )
 
 const (
 	// A client that has sent ahead is looked after this often: 0.1 s after it has gone no attempt may begin for it.
-	lookEvery = 25 * time.Millisecond
+	pollEvery = 25 * time.Millisecond
 	// The last answer on a connection has this long to reach the client, as in net/http's server: a close over bytes that
 	// nobody read resets the connection, and what is still on its way goes with it.
 	lingerFor = 500 * time.Millisecond
 )
 
-// heard is a client's connection that knows when its last byte came, so that one that is slowly writing a
+// clientConn is a client's connection that knows when its last byte came, so that one that is slowly writing a
 // request is told apart from one that says nothing, and how many lines began with Content-Length. A request that comes in the
 // moment in which its connection is closed is either read, and then answered, or not read at all.
-type heard struct {
+type clientConn struct {
 	net.Conn
 	raw     syscall.RawConn // nil where the connection is no socket
 	guard   *Guard
-	last    atomic.Int64 // UnixNano of the last read that brought bytes; 0: none yet
+	came    time.Time    // when it was accepted
+	last    atomic.Int64 // ns from came to the last read that brought bytes; 0: none yet
 	lengths atomic.Int64
 	at      int // of lengthName, how much of the line that is coming matches; -1: this line does not
 
@@ -37,6 +40,7 @@
 	resting bool        // between requests
 	waits   bool        // net/http waits for bytes of a request: it has none left from before
 	fresh   bool        // bytes have been read of a request that has not come whole
+	owes    bool        // a request has come whole, and nothing of its answer has been written
 	shut    bool        // nothing is read any more
 	ended   bool        // the client has closed, or the connection broke: what it sent ahead is not taken any more
 	closed  bool        // by this side
@@ -46,8 +50,8 @@
 	look    *time.Timer // looks for that while the client has sent ahead
 }
 
-func newHeard(c net.Conn, g *Guard) *heard {
-	h := &heard{Conn: c, guard: g}
+func newClientConn(c net.Conn, g *Guard) *clientConn {
+	h := &clientConn{Conn: c, guard: g, came: time.Now()}
 	if s, ok := c.(syscall.Conn); ok {
 		h.raw, _ = s.SyscallConn() // an error comes of a closed connection, which shows as it is read
 	}
@@ -55,10 +59,10 @@
 }
 
 // Read implements net.Conn. One goroutine reads a connection at a time.
-func (h *heard) Read(p []byte) (int, error) {
+func (h *clientConn) Read(p []byte) (int, error) {
 	n, err := h.read(p)
 	if n > 0 {
-		h.last.Store(time.Now().UnixNano())
+		h.last.Store(max(int64(time.Since(h.came)), 1))
 		h.scan(p[:n])
 	}
 	return n, err
@@ -66,7 +70,7 @@
 
 // read is the socket's Read, but that each of its system calls happens either before or after a close, and that nothing more is
 // taken from a connection that rests once the process is about to end.
-func (h *heard) read(p []byte) (n int, err error) {
+func (h *clientConn) read(p []byte) (n int, err error) {
 	if h.raw == nil || len(p) == 0 {
 		return h.Conn.Read(p)
 	}
@@ -89,7 +93,7 @@
 			n, err = 0, nil
 			return false
 		}
-		h.took(n, len(p))
+		h.noteRead(n, len(p))
 		return true
 	})
 	h.mu.Lock()
@@ -113,43 +117,43 @@
 	return 0, io.EOF
 }
 
-// took notes what a read of at most size bytes brought; h.mu is held. While a request is open net/http reads a single byte to see
+// noteRead notes what a read of at most size bytes brought; h.mu is held. While a request is open net/http reads a single byte to see
 // the client's close; if that comes, it stops looking, and the socket has to be asked.
-func (h *heard) took(n, size int) {
+func (h *clientConn) noteRead(n, size int) {
 	if n <= 0 {
 		h.ended = true
 		return
 	}
-	h.fresh = true
+	h.fresh, h.waits = true, false
 	h.ahead = size == 1
-	h.lookOut()
+	h.startPolling()
 }
 
-// watch calls gone if the client goes away from now on, until it is told of another or of none.
-func (h *heard) watch(gone func()) {
+// onGone calls gone if the client goes away from now on, until it is told of another or of none.
+func (h *clientConn) onGone(gone func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.gone = gone
-	h.lookOut()
+	h.startPolling()
 }
 
-// lookOut begins to look whether the client goes, where nothing else would see it; h.mu is held.
-func (h *heard) lookOut() {
+// startPolling begins to look whether the client goes, where nothing else would see it; h.mu is held.
+func (h *clientConn) startPolling() {
 	if h.ahead && h.gone != nil && h.look == nil {
-		h.look = time.AfterFunc(lookEvery, h.looks)
+		h.look = time.AfterFunc(pollEvery, h.pollGone)
 	}
 }
 
-// looks asks the socket whether the client has closed.
-func (h *heard) looks() {
-	_, over := h.state()
+// pollGone asks the socket whether the client has closed.
+func (h *clientConn) pollGone() {
+	_, over := h.peek()
 	h.mu.Lock()
 	gone := h.gone
 	h.ended = h.ended || over
 	if gone == nil || !h.ahead || over {
 		h.look = nil
 	} else {
-		h.look.Reset(lookEvery)
+		h.look.Reset(pollEvery)
 	}
 	h.mu.Unlock()
 	if over && gone != nil {
@@ -157,25 +161,42 @@
 	}
 }
 
-// whole notes that what has been read belongs to a request that has come whole, or to none. It returns false if its client is known
-// to have gone.
-func (h *heard) whole() bool {
+// requestComplete notes that what has been read belongs to a request that has come whole, or to none. It returns false if its client is
+// known to have gone: the socket is asked, since a process that was held up reads a close only after the request.
+func (h *clientConn) requestComplete() bool {
+	_, over := h.peek()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.fresh = false
+	h.fresh, h.ended = false, h.ended || over
 	return !h.ended
 }
 
-// rest notes whether the connection is between requests.
-func (h *heard) rest(resting bool) {
+// taken notes that the request is to be answered.
+func (h *clientConn) taken() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.owes = true
+}
+
+// clientGone asks the socket whether the client has closed.
+func (h *clientConn) clientGone() bool {
+	_, over := h.peek()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ended = h.ended || over
+	return h.ended
+}
+
+// setResting notes whether the connection is between requests.
+func (h *clientConn) setResting(resting bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.resting = resting
 }
 
-// state asks the socket whether bytes wait to be read, and whether the client has closed or the connection has broken, whatever
+// peek asks the socket whether bytes wait to be read, and whether the client has closed or the connection has broken, whatever
 // waits before that.
-func (h *heard) state() (bytes, over bool) {
+func (h *clientConn) peek() (bytes, over bool) {
 	if h.raw == nil {
 		return false, false
 	}
@@ -195,41 +216,45 @@
 	return bytes, over || err != nil
 }
 
-// closeResting ends a connection on which no request has begun to come, and reports whether it did. What comes later is not read,
-// and the client sends it anew. Bytes that wait to be read keep the connection, to be served, unless over says that it ends over them:
-// a process that is about to be killed might not answer.
-func (h *heard) closeResting(over bool) bool {
+// closeIf ends a connection, if that may be done now, and says why not else. What comes later is not read, and the client sends it anew.
+func (h *clientConn) closeIf(facts permit.Close) permit.Reason {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.waits || h.fresh {
-		return false
-	}
-	if bytes, left := h.state(); bytes && !left && !over {
-		return false
+	bytes, left := h.peek()
+	facts.Waits = h.waits
+	facts.Half = facts.Half || h.fresh
+	facts.Unread = bytes && !left
+	if why := facts.Check(); why != permit.Allowed {
+		return why
 	}
 	h.shut = true
 	h.Conn.SetReadDeadline(time.Unix(1, 0)) // net/http's Read ends, and its goroutine closes the connection
-	return true
+	return permit.Allowed
 }
 
 // Write implements net.Conn.
-func (h *heard) Write(p []byte) (int, error) {
+func (h *clientConn) Write(p []byte) (int, error) {
 	n, err := h.Conn.Write(p)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.wrote, h.ended = time.Now(), h.ended || err != nil
+	h.wrote, h.owes, h.ended = time.Now(), false, h.ended || err != nil
 	return n, err
 }
 
 // Close implements net.Conn. Where an answer may still be on its way only the sending side ends at once; nothing is read any more.
-func (h *heard) Close() error {
+func (h *clientConn) Close() error {
 	h.mu.Lock()
 	left := time.Until(h.wrote.Add(lingerFor))
 	lingers := left > 0 && !h.ended && !h.closed
+	owes := h.owes && !h.ended && !h.closed
 	h.shut, h.closed, h.gone = true, true, nil
 	h.mu.Unlock()
 	half, ok := h.Conn.(interface{ CloseWrite() error })
-	if _, over := h.state(); !lingers || over || !ok || !h.guard.linger() {
+	_, over := h.peek()
+	if owes && !over {
+		h.guard.audit.Violation(permit.ActClose, permit.Unanswered, h.RemoteAddr().String())
+	}
+	if !lingers || over || !ok || !h.guard.linger() {
 		return h.Conn.Close()
 	}
 	if half.CloseWrite() != nil {
@@ -247,7 +272,7 @@
 const lengthName = "content-length:"
 
 // scan counts the lines that begin with Content-Length, however the bytes are cut.
-func (h *heard) scan(p []byte) {
+func (h *clientConn) scan(p []byte) {
 	for len(p) > 0 {
 		if h.at < 0 {
 			end := bytes.IndexByte(p, '\n')
@@ -278,9 +303,9 @@
 
 // lastByte is when a connection last sent something, or when it came if it has not yet.
 func lastByte(c net.Conn, since time.Time) time.Time {
-	if h, ok := c.(*heard); ok {
-		if at := h.last.Load(); at != 0 && time.Unix(0, at).After(since) {
-			return time.Unix(0, at)
+	if h, ok := c.(*clientConn); ok {
+		if at := h.last.Load(); at != 0 && h.came.Add(time.Duration(at)).After(since) {
+			return h.came.Add(time.Duration(at))
 		}
 	}
 	return since
--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"rampspread/internal/accept"
+	"rampspread/internal/permit"
 	"rampspread/internal/system"
 )
 
@@ -48,12 +49,16 @@
 // turned away before the handler, bounds the bodies that are in memory at a time, answers GET /healthz, and
 // ends connections while the program drains.
 type Guard struct {
-	next   http.Handler
-	bodies *semaphore.Weighted
-	state  *State
-	bad    atomic.Int64
-	shed   atomic.Int64
-	closed atomic.Int64
+	next    http.Handler
+	bodies  *semaphore.Weighted
+	state   *State
+	audit   *permit.Audit
+	bad     atomic.Int64
+	shed    atomic.Int64
+	closed  atomic.Int64     // for room
+	sent    atomic.Int64     // away, as the operator drains or the process ends
+	accepts *accept.Listener // set before it serves
+	kept    atomic.Int64     // for a moment, though they were to be closed: a request was coming, or had come
 
 	lingering atomic.Int64 // connections whose last answer is on its way,
 	lingers   atomic.Int64 // and how many may be at a time
@@ -65,47 +70,51 @@
 // conn is what the guard knows of a connection.
 type conn struct {
 	guard          *Guard
-	heard          *heard    // its raw bytes; nil where another listener accepted it
-	lengths        int64     // Content-Length lines that its requests' heads are known to have had
-	begun, handled int       // requests begun, and those that reached the handler
-	asked          bool      // a whole request has come
-	open           bool      // one is out
-	idle           bool      // between requests: one has been answered, the next has not begun
-	closed         bool      // it gave way
-	since          time.Time // when it came to have none, or began to send its next
+	client         *clientConn // its raw bytes; nil where another listener accepted it
+	lengths        int64       // Content-Length lines that its requests' heads are known to have had
+	begun, handled int         // requests begun, and those that reached the handler
+	asked          bool        // a whole request has come
+	open           bool        // one is out
+	idle           bool        // between requests: one has been answered, the next has not begun
+	closed         bool        // it gave way
+	since          time.Time   // when it came to have none, or began to send its next
 }
 
 type connKey struct{}
 
-// open marks a request as whole: from now on its connection does not give way. It returns false if it has, or if the client has gone:
-// net/http goes on with what it sent ahead.
-func open(r *http.Request) bool {
+// take settles whether a request that has come whole may be taken; from then on its connection does not give way. net/http hands over
+// what a client sent ahead also when it has gone.
+func take(r *http.Request) permit.Reason {
 	k, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
-		return true // no guard before this front
+		return permit.Allowed // no guard before this front
 	}
+	gone := k.client != nil && !k.client.requestComplete()
 	k.guard.mu.Lock()
 	defer k.guard.mu.Unlock()
-	k.asked, k.open = true, !k.closed
-	if k.heard != nil && !k.heard.whole() {
-		k.open = false
+	why := permit.Take{ClientGone: gone, GaveWay: k.closed, Ending: k.guard.state.Late.Load()}.Check()
+	k.asked, k.open = true, why == permit.Allowed || why == permit.Ending
+	if k.open && k.client != nil {
+		k.client.taken()
+	}
+	if why == permit.Ending {
+		k.guard.shed.Add(1)
 	}
-	return k.open
+	return why
 }
 
-// late tells whether a request has come too late to be taken: the process may be killed before it has answered it.
-func late(r *http.Request) bool {
+// Gone returns what asks a request's connection whether its client has closed it; nil: there is no such connection to ask.
+func Gone(r *http.Request) func() bool {
 	k, ok := r.Context().Value(connKey{}).(*conn)
-	if !ok || !k.guard.state.Late.Load() {
-		return false
+	if !ok || k.client == nil {
+		return nil
 	}
-	k.guard.shed.Add(1)
-	return true
+	return k.client.clientGone
 }
 
 // NewGuard guards next. The fronts of a program share bodies, in bytes, and state.
-func NewGuard(next http.Handler, bodies *semaphore.Weighted, state *State) *Guard {
-	return &Guard{next: next, bodies: bodies, state: state, conns: map[net.Conn]*conn{}}
+func NewGuard(next http.Handler, bodies *semaphore.Weighted, state *State, audit *permit.Audit) *Guard {
+	return &Guard{next: next, bodies: bodies, state: state, audit: audit, conns: map[net.Conn]*conn{}}
 }
 
 // Attach sets the server's handler, time limits and hooks.
@@ -114,7 +123,7 @@
 	s.ReadHeaderTimeout, s.ReadTimeout, s.IdleTimeout, s.MaxHeaderBytes = headWait, bodyWait, clientIdle, maxHead
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		k := &conn{guard: g, since: time.Now()}
-		k.heard, _ = c.(*heard)
+		k.client, _ = c.(*clientConn)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.conns[c] = k
@@ -134,18 +143,18 @@
 	case http.StateActive:
 		k.begun++
 		k.idle = false
-		if k.heard != nil {
-			k.heard.rest(false)
+		if k.client != nil {
+			k.client.setResting(false)
 		}
 		if k.asked {
 			k.since = time.Now()
 		}
 	case http.StateIdle:
-		if k.heard != nil {
+		if k.client != nil {
 			if !k.open {
-				k.heard.whole() // it was answered without being read whole
+				k.client.requestComplete() // it was answered without being read whole
 			}
-			k.heard.rest(true)
+			k.client.setResting(true)
 		}
 		k.open, k.idle, k.since = false, true, time.Now()
 	case http.StateClosed, http.StateHijacked:
@@ -156,10 +165,11 @@
 	}
 }
 
-// Listen bounds the connections that l hands out.
-func (g *Guard) Listen(l net.Listener, most int) net.Listener {
+// Listen bounds the connections that l hands out; an accept that fails ends nothing.
+func (g *Guard) Listen(l net.Listener, most int, machine system.System) net.Listener {
 	g.lingers.Store(int64(max(most/8, 1)))
-	return &listener{accept.New(l, system.Real()), g, most}
+	g.accepts = accept.New(l, machine)
+	return &listener{g.accepts, g, most}
 }
 
 // linger counts one more connection that waits for its last answer to arrive, until its close takes it from the count; it returns
@@ -191,12 +201,12 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		return nil, err // http.Server tells errors apart by their type
+		return nil, err // http.Server tells errors apart by their type: the listener is closed, or broken
 	}
 	for !l.guard.makeRoom(l.most) {
 		time.Sleep(roomWait)
 	}
-	return newHeard(c, l.guard), nil
+	return newClientConn(c, l.guard), nil
 }
 
 // makeRoom tells whether one more connection has room, once the one that is best missed is closed: the one
@@ -208,7 +218,7 @@
 	if len(g.conns) < most {
 		return true
 	}
-	busy := map[net.Conn]bool{} // a request is coming on it
+	busy := map[net.Conn]bool{} // a request is coming on it, or has come
 	for {
 		var silent, idle net.Conn
 		now := time.Now()
@@ -223,30 +233,39 @@
 				idle, idleAt = c, k.since
 			}
 		}
-		switch {
-		case silent != nil: // half a request is none, and never will be
-			g.drop(silent)
-			silent.Close()
-		case idle == nil:
+		victim, half := silent, true
+		if victim == nil {
+			victim, half = idle, false
+		}
+		if victim == nil {
 			return false
-		case !rests(idle, false):
-			busy[idle] = true
+		}
+		facts := permit.Close{Cause: permit.ForRoom, Half: half, Silent: now.Sub(lastByte(victim, g.conns[victim].since)), Patience: silentFor}
+		if why := closeIf(victim, facts); why != permit.Allowed {
+			g.kept.Add(1)
+			busy[victim] = true
 			continue
-		default:
-			g.drop(idle)
+		}
+		g.drop(victim)
+		if half { // it is none, and never will be
+			victim.Close()
 		}
 		g.closed.Add(1)
 		return true
 	}
 }
 
-// rests closes a connection that rests and reports whether it did; over says that unread bytes do not keep it.
-func rests(c net.Conn, over bool) bool {
-	if h, ok := c.(*heard); ok {
-		return h.closeResting(over)
+// closeIf closes a connection if that may be done now, and says why not else.
+func closeIf(c net.Conn, facts permit.Close) permit.Reason {
+	if h, ok := c.(*clientConn); ok {
+		return h.closeIf(facts)
+	}
+	facts.Waits = true // nothing is known of its bytes
+	why := facts.Check()
+	if why == permit.Allowed {
+		c.Close()
 	}
-	c.Close()
-	return true
+	return why
 }
 
 // drop takes a connection from the count: its goroutine tells of the close only later. g.mu is held.
@@ -261,25 +280,49 @@
 func (g *Guard) CloseQuiet(quiet time.Duration) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	silentAt := time.Now().Add(-quiet)
-	closing := g.state.Closing.Load()
+	now := time.Now()
+	cause := permit.ForDrain
+	if g.state.Closing.Load() {
+		cause = permit.AtShutdown
+	}
 	n := 0
 	for c, k := range g.conns {
 		inHandler := !k.idle && k.begun > 0 && k.handled == k.begun
-		switch {
-		case k.closed || k.open || inHandler || !k.idle && !k.since.Before(silentAt):
-		case rests(c, closing):
-			k.closed = true // it is counted until its goroutine has closed it
-			n++
-		case !k.idle && !closing: // half a request is none, and never will be
+		if k.closed || !k.idle && now.Sub(k.since) < quiet {
+			continue
+		}
+		half := !k.idle && !inHandler && cause == permit.ForDrain
+		facts := permit.Close{Cause: cause, Open: k.open || inHandler, Half: half, Silent: now.Sub(lastByte(c, k.since)), Patience: quiet}
+		if why := closeIf(c, facts); why != permit.Allowed {
+			if why != permit.Unanswered {
+				g.kept.Add(1)
+			}
+			continue
+		}
+		n++
+		g.sent.Add(1)
+		if half { // it is none, and never will be
 			g.drop(c)
 			c.Close()
-			n++
+			continue
 		}
+		k.closed = true // it is counted until its goroutine has closed it
 	}
 	return n
 }
 
+// Busy tells whether a request is being answered.
+func (g *Guard) Busy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, k := range g.conns {
+		if k.open {
+			return true
+		}
+	}
+	return false
+}
+
 // Bad is how many requests had heads that were cut short or malformed, or bodies of no use.
 func (g *Guard) Bad() int64 { return g.bad.Load() }
 
@@ -289,17 +332,31 @@
 // Closed is how many connections were closed to make room.
 func (g *Guard) Closed() int64 { return g.closed.Load() }
 
+// AcceptFailures is how many accepts failed.
+func (g *Guard) AcceptFailures() int64 {
+	if g.accepts == nil {
+		return 0
+	}
+	return g.accepts.Failed()
+}
+
+// SentAway is how many were closed as the operator drained the front or the process ended.
+func (g *Guard) SentAway() int64 { return g.sent.Load() }
+
+// Kept is how often a connection was to be closed and was not, since a request was coming on it or had come.
+func (g *Guard) Kept() int64 { return g.kept.Load() }
+
 // ServeHTTP implements http.Handler.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if k, ok := r.Context().Value(connKey{}).(*conn); ok {
 		g.mu.Lock()
 		k.handled++
 		g.mu.Unlock()
-		if k.heard != nil {
+		if k.client != nil {
 			ctx, gone := context.WithCancel(r.Context())
 			defer gone()
-			k.heard.watch(gone)
-			defer k.heard.watch(nil)
+			k.client.onGone(gone)
+			defer k.client.onGone(nil)
 			r = r.WithContext(ctx)
 		}
 	}
@@ -356,10 +413,10 @@
 func misframed(r *http.Request) int {
 	k, ok := r.Context().Value(connKey{}).(*conn)
 	if r.ContentLength < 0 {
-		if !ok || k.heard == nil {
+		if !ok || k.client == nil {
 			return http.StatusLengthRequired // nobody can tell
 		}
-		if k.heard.lengths.Load() > k.lengths {
+		if k.client.lengths.Load() > k.lengths {
 			return http.StatusBadRequest
 		}
 		return 0
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"rampspread/decide"
+	"rampspread/internal/permit"
+	"rampspread/internal/system"
 )
 
 // Call is what goes on to the servers for one request, unchanged.
@@ -37,6 +39,11 @@
 	SharedTokens int
 	MaxOutput    int
 	Deadline     time.Time // the final answer has left by then
+	// Gone asks the client's connection whether the client has closed it, which its context may tell a moment later; nil: the context
+	// is all there is to ask. It does not wait.
+	Gone func() bool
+	// Finish lets what has been sent go on to its end though the client has left; no further attempt begins.
+	Finish bool
 }
 
 // Kind is how a request was answered.
@@ -47,9 +54,14 @@
 	Failed  Kind = iota // no promise
 	Refused             // a retry is harmless
 	Served              // Stream holds the answer
-	Left                // the client went away first
+	Left                // the client went away first, and nothing may have run
 )
 
+var kindNames = [...]string{Failed: "failed", Refused: "refused", Served: "served", Left: "left"}
+
+// String is the kind as logs name it.
+func (k Kind) String() string { return kindNames[k] }
+
 // Answer is the one final answer to a request.
 type Answer struct {
 	Kind       Kind
@@ -95,9 +107,21 @@
 	Ended(Outcome)
 }
 
+// Order is one attempt to be made.
+type Order struct {
+	Call  Call
+	To    Target
+	Limit time.Duration // for all of it
+	// Gone asks whether the client has gone; nil: nobody can tell. It does not wait.
+	Gone func() bool
+	// Window is for how long the servers drop repeats of what may have run already, where Repeat says that it may have.
+	Repeat bool
+	Window time.Duration
+}
+
 // Servers sends calls. None of its methods blocks.
 type Servers interface {
-	Send(call Call, to Target, limit time.Duration, ev Events) Attempt
+	Send(order Order, ev Events) Attempt
 	// Probe asks a server for its load and calls back once, from any goroutine; nil: it told none in time.
 	Probe(to Target, limit time.Duration, told func(*decide.Load))
 	// Release lets go of what is held for the call's request, through the first of the targets that answers.
@@ -144,7 +168,10 @@
 // Core is the one owner of a Router.
 type Core struct {
 	router   *decide.Router
+	config   decide.Config // in force
 	servers  Servers
+	machine  system.System
+	audit    *permit.Audit
 	start    time.Time
 	base     time.Duration
 	queue    chan func()
@@ -163,17 +190,23 @@
 
 type listed struct {
 	Target
-	state decide.ServerState
-	heard time.Duration
-	start start
+	state      decide.ServerState
+	zone, cell int
+	reads      bool // it reads prompts only: an attempt there has no effect
+	heard      time.Duration
+	start      start
 }
 
 type request struct {
 	Request
 	id       decide.RequestID
+	client   context.Context
 	answer   chan Answer // nil once answered
+	left     bool        // the client has left, and what was sent goes on to its end
+	ran      effect
 	streamed bool
-	loose    bool // an attempt was lost sight of: what it left may show only later
+	why      string // it was refused, or failed
+	loose    bool   // an attempt was lost sight of: what it left may show only later
 	deadline time.Duration
 	timer    *time.Timer // runs to the deadline
 	attempts []*attempt
@@ -195,14 +228,14 @@
 }
 
 // New returns a Core that Run must drive.
-func New(cfg decide.Config, seed uint64, servers Servers) (*Core, error) {
+func New(cfg decide.Config, seed uint64, servers Servers, machine system.System, audit *permit.Audit) (*Core, error) {
 	router, err := decide.New(cfg, seed)
 	if err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
-	now := time.Now()
 	return &Core{
-		router: router, servers: servers, start: now, base: time.Duration(now.UnixNano()),
+		router: router, config: cfg, servers: servers, machine: machine, audit: audit,
+		start: time.Now(), base: time.Duration(machine.Wall().UnixNano()),
 		queue: make(chan func(), queueSize), done: make(chan struct{}),
 		requests: map[decide.RequestID]*request{}, list: map[decide.ServerID]*listed{},
 		names: map[string]*listed{},
@@ -242,16 +275,17 @@
 	}
 }
 
-// now is the time since 1970 by the clock that only advances.
+// now is the time by the clock that only advances; at the start it was that since 1970.
 func (c *Core) now() time.Duration { return c.base + time.Since(c.start) }
 
-func (c *Core) at(t time.Time) time.Duration { return c.now() + time.Until(t) }
+// at is a time of this process's, by the same clock.
+func (c *Core) at(t time.Time) time.Duration { return c.base + t.Sub(c.start) }
 
 // Do takes a request and returns its one final answer. If the client's context ends first, the answer is
 // Left, or one that was on its way.
 func (c *Core) Do(client context.Context, req Request) Answer {
 	answer := make(chan Answer, 1)
-	q := &request{Request: req, answer: answer}
+	q := &request{Request: req, client: client, answer: answer}
 	if !c.post(func() { c.take(q) }) {
 		return Answer{Kind: Failed}
 	}
@@ -288,6 +322,7 @@
 		l.Addr, l.state = e.Addr, e.State
 		s := decide.Server{ID: l.ID, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, State: e.State, Weight: e.Weight}
 		s.Started = c.startOf(l, e.Started)
+		l.zone, l.cell, l.reads = e.Zone, e.Cell, c.reads(e.Kind)
 		ev.Servers = append(ev.Servers, s)
 	}
 	c.withdraw() // before the module hears of the list: what it sends now goes by that
@@ -423,6 +458,10 @@
 		c.giveUp(q)
 		return
 	}
+	if q.gone() {
+		c.left(q)
+		return
+	}
 	c.handle(decide.Arrival{
 		Request: q.id, Class: q.Class, Tenant: q.Tenant, Session: q.Session, Shared: q.Shared,
 		Prompt: q.Prompt, SharedTokens: q.SharedTokens, MaxOutput: q.MaxOutput, TimeLeft: q.deadline - now,
@@ -454,12 +493,17 @@
 func (c *Core) end(q *request, a Answer) {
 	c.reply(q, a)
 	c.handle(decide.ClientGone{Request: q.id})
+	c.withdrawAll(q)
+	c.forget(q)
+}
+
+// withdrawAll keeps the attempts of a request that wait for their connection from beginning.
+func (c *Core) withdrawAll(q *request) {
 	for _, a := range q.attempts {
 		if !a.ended && !a.first {
 			a.call.Withdraw()
 		}
 	}
-	c.forget(q)
 }
 
 // abort gives an attempt up. It counts as out until its connection is closed: what is sent elsewhere
@@ -472,12 +516,27 @@
 	a.call.Abort()
 }
 
+// left ends a request whose client has left. Where what was sent is to go on to its end, it does while an attempt is out that may run.
 func (c *Core) left(q *request) {
-	if q.answer == nil {
+	if q.answer == nil || q.left {
 		return
 	}
 	c.counters.Left++
-	c.end(q, Answer{Kind: Left})
+	if q.Finish && q.runs() {
+		q.left = true
+		c.withdrawAll(q)
+		return
+	}
+	c.endLeft(q)
+}
+
+// endLeft gives the answer that is owed for a request whose client has left: whether anything may have run.
+func (c *Core) endLeft(q *request) {
+	kind := Left
+	if q.Finish && (q.ran.mayHave || q.runs()) {
+		kind = Failed
+	}
+	c.end(q, Answer{Kind: kind})
 }
 
 // GiveUp answers all that is unanswered, lets go of what is held for it, and refuses what comes from now on: the process is about
@@ -506,8 +565,12 @@
 
 // reply gives the one final answer; the channel has room for it.
 func (c *Core) reply(q *request, a Answer) {
+	if why := (permit.Answer{Answered: q.answer == nil}).Check(); why != permit.Allowed {
+		c.audit.Violation(permit.ActAnswer, why, q.Call.ID)
+		return
+	}
 	if a.Kind != Served {
-		slog.Info("unserved", "id", q.Call.ID, "kind", a.Kind, "left", q.deadline-c.now(), "attempts", len(q.attempts))
+		slog.Info("unserved", "id", q.Call.ID, "kind", a.Kind, "why", q.why, "left", q.deadline-c.now(), "attempts", len(q.attempts))
 	}
 	q.answer <- a
 	q.answer = nil
@@ -563,12 +626,14 @@
 	case decide.Refuse:
 		if q := c.requests[a.Request]; q != nil && q.answer != nil {
 			c.counters.Refused++
+			q.why = string(a.Why)
 			c.reply(q, Answer{Kind: Refused, RetryAfter: cmp.Or(a.RetryAfter, comeBack)})
 			c.forget(q)
 		}
 	case decide.Fail:
 		if q := c.requests[a.Request]; q != nil && q.answer != nil {
 			c.counters.Failed++
+			q.why = string(a.Why)
 			c.reply(q, Answer{Kind: Failed})
 			c.forget(q)
 		}
@@ -583,27 +648,6 @@
 	}
 }
 
-func (c *Core) send(s decide.Send) {
-	q, to := c.requests[s.Request], c.list[s.Server]
-	if q == nil {
-		return
-	}
-	now := c.now()
-	a := &attempt{core: c, req: q, number: len(q.attempts), to: to, sent: now}
-	q.attempts = append(q.attempts, a)
-	limit := q.deadline - now
-	if s.Timeout > 0 {
-		limit = min(limit, s.Timeout)
-	}
-	if q.answer == nil || to == nil || limit <= 0 {
-		c.finish(a, Outcome{Outcome: decide.Moot})
-		return
-	}
-	c.counters.Sent++
-	a.call = c.servers.Send(q.Call, to.Target, limit, a)
-	a.timer = time.AfterFunc(limit, func() { c.post(func() { c.abort(a, decide.TimedOut) }) })
-}
-
 func (c *Core) probe(id decide.ServerID) {
 	told := func(l *decide.Load) {
 		c.post(func() { c.handle(decide.Probed{Server: id, Load: l}) })
@@ -668,6 +712,7 @@
 		a.timer.Stop()
 	}
 	q := a.req
+	q.ran.note(a, o)
 	server := decide.ServerID(0)
 	if a.to != nil {
 		server = a.to.ID
@@ -692,6 +737,9 @@
 		Request: q.id, Attempt: a.number, Server: server, Outcome: o.Outcome, After: c.now() - a.sent,
 		Kept: o.Kept, Begun: o.Begun, Final: q.answer == nil, Load: o.Load,
 	})
+	if q.left && q.answer != nil && !q.runs() {
+		c.endLeft(q) // nothing is out that could still be read to its end
+	}
 	c.forget(q)
 }
 
--- a/internal/core/retune.go
+++ b/internal/core/retune.go
@@ -12,7 +12,7 @@
 // has refused it.
 func (c *Core) Retune(ctx context.Context, cfg decide.Config) error {
 	done := make(chan error, 1)
-	if !c.post(func() { done <- c.router.Retune(c.now(), cfg) }) {
+	if !c.post(func() { done <- c.retune(cfg) }) {
 		return errStopped
 	}
 	select {
@@ -28,4 +28,13 @@
 	}
 }
 
+func (c *Core) retune(cfg decide.Config) error {
+	if err := c.router.Retune(c.now(), cfg); err != nil {
+		return err
+	}
+	cfg.Kinds = c.config.Kinds // they hold from the next start
+	c.config = cfg
+	return nil
+}
+
 var errStopped = errors.New("core: stopped")
--- /dev/null
+++ b/internal/core/send.go
@@ -0,0 +1,132 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"rampspread/decide"
+	"rampspread/internal/permit"
+)
+
+// effect is what the attempts of a request may have done.
+type effect struct {
+	mayHave bool
+	at      time.Duration // when the first attempt that may have run was sent,
+	on      *listed       // and where
+}
+
+// note takes an attempt's end.
+func (e *effect) note(a *attempt, o Outcome) {
+	if a.to == nil || a.to.reads || o.Outcome.NeverRan() || e.mayHave {
+		return
+	}
+	*e = effect{mayHave: true, at: a.sent, on: a.to}
+}
+
+// runs tells whether an attempt is out that may carry the request out.
+func (q *request) runs() bool {
+	for _, a := range q.attempts {
+		if !a.ended && a.to != nil && !a.to.reads {
+			return true
+		}
+	}
+	return false
+}
+
+// out tells whether an attempt has not ended.
+func (q *request) out() bool {
+	for _, a := range q.attempts {
+		if !a.ended {
+			return true
+		}
+	}
+	return false
+}
+
+// gone tells whether the request's client has left.
+func (q *request) gone() bool {
+	return q.left || q.client.Err() != nil || q.Gone != nil && q.Gone()
+}
+
+// reads tells whether servers of a kind read prompts only.
+func (c *Core) reads(kind int) bool {
+	return kind >= 0 && kind < len(c.config.Kinds) && c.config.Kinds[kind].Role == decide.Reader
+}
+
+// window is for how long yet a server drops repeats of what may have run; false: it does not drop them.
+func (c *Core) window(q *request, to *listed, now time.Duration) (left time.Duration, alike bool) {
+	class, on := c.config.Classes[q.Class], q.ran.on
+	if on == nil || to == nil {
+		return 0, false
+	}
+	switch class.Group {
+	case decide.GroupZone:
+		alike = to.zone == on.zone
+	case decide.GroupCell:
+		alike = to.cell == on.cell
+	default:
+		alike = true
+	}
+	return q.ran.at + class.Window - now, alike
+}
+
+// sendFacts are what there is to know of an attempt that the module wants.
+func (c *Core) sendFacts(q *request, to *listed, limit, now time.Duration) permit.Send {
+	window, alike := c.window(q, to, now)
+	return permit.Send{
+		Answered:   q.answer == nil,
+		ClientGone: q.gone(),
+		Leaving:    to == nil || to.state != decide.Ready,
+		Left:       limit,
+		CopyOut:    q.out(),
+		Runs:       to != nil && !to.reads,
+		MayHaveRun: q.ran.mayHave,
+		Effect:     c.config.Classes[q.Class].Effect,
+		Alike:      alike,
+		Window:     window,
+	}
+}
+
+// send makes an attempt, if it may be made. One that may not has ended before it began, which has cost no server anything.
+func (c *Core) send(s decide.Send) {
+	q, to := c.requests[s.Request], c.list[s.Server]
+	if q == nil {
+		return
+	}
+	now := c.now()
+	limit := q.deadline - now
+	if s.Timeout > 0 {
+		limit = min(limit, s.Timeout)
+	}
+	facts := c.sendFacts(q, to, limit, now)
+	a := &attempt{core: c, req: q, number: len(q.attempts), to: to, sent: now}
+	q.attempts = append(q.attempts, a)
+	if why := facts.Check(); why != permit.Allowed {
+		c.notSent(a, why)
+		return
+	}
+	if a.number > 0 {
+		slog.Info("further_attempt", "id", q.Call.ID, "attempt", a.number, "server", a.name(), "may_have_run", q.ran.mayHave)
+	}
+	c.counters.Sent++
+	a.call = c.servers.Send(Order{Call: q.Call, To: to.Target, Limit: limit, Gone: q.Gone,
+		Repeat: facts.Runs && q.ran.mayHave && facts.Effect == decide.Keyed, Window: facts.Window}, a)
+	a.timer = time.AfterFunc(limit, func() { c.post(func() { c.abort(a, decide.TimedOut) }) })
+}
+
+// notSent ends an attempt that may not be made.
+func (c *Core) notSent(a *attempt, why permit.Reason) {
+	q := a.req
+	slog.Info("not_sent", "id", q.Call.ID, "attempt", a.number, "server", a.name(), "why", why.String())
+	switch why {
+	case permit.CopyOut, permit.MayHaveRun, permit.WindowOver: // the module should not have wanted it
+		c.audit.Violation(permit.ActSend, why, q.Call.ID)
+	case permit.ClientGone:
+		c.finish(a, Outcome{Outcome: decide.Moot})
+		if q.answer != nil {
+			c.left(q)
+		}
+		return
+	}
+	c.finish(a, Outcome{Outcome: decide.Moot})
+}
--- a/internal/core/start.go
+++ b/internal/core/start.go
@@ -28,7 +28,7 @@
 // real time since this process's start. They differ once the wall clock has been stepped. A start that lies ahead of the wall clock
 // was told by the clock as it was before a step back.
 func (c *Core) age(told time.Time) time.Duration {
-	byWall := time.Now().Round(0).Sub(told)
+	byWall := c.machine.Wall().Sub(told)
 	byOwn := c.now() - time.Duration(told.UnixNano())
 	if byWall < -clockSlack {
 		return max(byOwn, 0)
--- a/cmd/rampspread/beside_test.go
+++ b/internal/program/beside_test.go
@@ -1,4 +1,4 @@
-package main
+package program
 
 import (
 	"fmt"
--- a/cmd/rampspread/commands.go
+++ b/internal/program/commands.go
@@ -1,4 +1,4 @@
-package main
+package program
 
 import (
 	"fmt"
@@ -12,13 +12,14 @@
 	"rampspread/internal/cli"
 	"rampspread/internal/fleet"
 	"rampspread/internal/ops"
+	"rampspread/internal/system"
 	"rampspread/internal/wire"
 )
 
 // commands is the command line. The bare program is the same as its sub-command serve.
-func commands(on signals, out io.Writer) *cobra.Command {
+func commands(machine system.System, on signals, out io.Writer) *cobra.Command {
 	root := cli.Root("rampspread", "A control service for LLM traffic", out)
-	serving := serveCommand(on, out)
+	serving := serveCommand(machine, on, out)
 	root.Args, root.RunE = func(_ *cobra.Command, args []string) error {
 		if len(args) > 0 {
 			return fmt.Errorf("unknown sub-command %q: see rampspread -h", args[0])
@@ -70,7 +71,7 @@
 	return c, nil
 }
 
-func serveCommand(on signals, out io.Writer) *cobra.Command {
+func serveCommand(machine system.System, on signals, out io.Writer) *cobra.Command {
 	var f files
 	var o options
 	c := &cobra.Command{Use: "serve", Short: "Run one dispatcher", Args: cli.NoWords, RunE: func(c *cobra.Command, _ []string) error {
@@ -79,7 +80,7 @@
 			return err
 		}
 		o.config = f.config
-		return serve(c.Context(), files, o, on, out)
+		return serve(c.Context(), machine, files, o, on, out)
 	}}
 	f.flags(c)
 	c.Flags().StringVar(&o.handover, "handover", "", "the `folder` in which processes of this name on this machine hand over what they learnt; none: they do not")
--- /dev/null
+++ b/internal/program/drain.go
@@ -0,0 +1,86 @@
+package program
+
+// The orderly end.
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"rampspread/internal/clients"
+)
+
+const (
+	// After SIGTERM new connections still come for up to 0.4 s, and requests on open ones for longer.
+	lameDuck = 500 * time.Millisecond // until idle connections are closed
+	lastCall = 400 * time.Millisecond // from then until the listener is
+	// tooLate is from when on after SIGTERM a request that is unanswered as the process is killed is lost.
+	tooLate    = 700 * time.Millisecond
+	closeEvery = 50 * time.Millisecond // between looks for connections that have come to rest
+	// shutdownFor is for how long, beyond that, connections without an open request are waited for. Open requests are always.
+	shutdownFor = 20 * time.Second
+	// lastWords is the time for what is given up to be answered, and what is held for it to be let go: a close is told after 10 ms, a
+	// release may have to try a second replica after 30 ms, and what a read left shows within 120 ms.
+	lastWords = 300 * time.Millisecond
+)
+
+// busy tells whether a request is being answered.
+func (p *program) busy() bool {
+	return slices.ContainsFunc(p.guards, (*clients.Guard).Busy)
+}
+
+// drain ends in good order. New connections still come for a while: they are taken, and each answer is the
+// last on its connection. Idle connections close next, and the listeners last.
+func (p *program) drain(grace time.Duration) error {
+	slog.Info("draining")
+	last := time.AfterFunc(grace-lastWords, p.giveUp)
+	defer last.Stop()
+	p.state.Stopping.Store(true)
+	if p.fleet != nil {
+		go func() {
+			p.fleet.Leave()
+			p.fleet.Close() // a process that replaces this one has its address
+		}()
+	}
+	time.Sleep(lameDuck)
+	p.state.Closing.Store(true)
+	lateOnes := time.AfterFunc(tooLate-lameDuck, func() { p.state.Late.Store(true) })
+	defer lateOnes.Stop()
+	// The guards close what rests, not the servers' Shutdown: that closes connections on which a request is just being read, and
+	// drops one whose head has been read, without an answer.
+	begun := time.Now()
+	tick := time.NewTicker(closeEvery)
+	defer tick.Stop()
+	var errs []error
+	for listening := true; ; <-tick.C {
+		if listening && time.Since(begun) >= lastCall {
+			listening = false
+			for _, l := range p.listens {
+				if err := l.Close(); err != nil {
+					errs = append(errs, fmt.Errorf("shutdown: %w", err))
+				}
+			}
+		}
+		open := 0
+		for _, g := range p.guards {
+			g.CloseQuiet(lastCall) // of new connections the last may have come just before the front saw this process go
+			open += g.Open()
+		}
+		if !listening && open == 0 {
+			break
+		}
+		if time.Since(begun) >= lastCall+shutdownFor && !p.busy() {
+			errs = append(errs, fmt.Errorf("shutdown: %d connections are still open", open))
+			break
+		}
+	}
+	for _, s := range p.servers {
+		s.Close()
+	}
+	if p.beside.Beside() {
+		time.Sleep(lastWords) // what was let go last is still on its way, and the process that goes on cannot let go of it
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/program/hold.go
@@ -0,0 +1,56 @@
+package program
+
+// The operators' calls that ask whether this process takes clients, and send clients away.
+
+import (
+	"log/slog"
+	"time"
+)
+
+// quietFor is how long a drained front waits for a connection without an open request to say something.
+const quietFor = 2 * time.Second
+
+// check is the operators' call that asks whether this process takes clients.
+func (p *program) check() (bool, string) {
+	switch {
+	case p.state.Stopping.Load():
+		return false, "stopping"
+	case !p.ready.Load():
+		return false, "starting"
+	case p.state.Held.Load():
+		return true, "serving, drained"
+	}
+	return true, "serving"
+}
+
+// drainOn sends clients away: GET /healthz says no, each answer is the last on its connection, and
+// connections without an open request are closed as they come to be idle or quiet.
+func (p *program) drainOn() (bool, string) {
+	if p.state.Held.Swap(true) {
+		return true, "draining already"
+	}
+	slog.Info("drain_on")
+	go func() {
+		tick := time.NewTicker(closeEvery)
+		defer tick.Stop()
+		for p.state.Held.Load() {
+			for _, g := range p.guards {
+				g.CloseQuiet(quietFor)
+			}
+			<-tick.C
+		}
+	}()
+	return true, "draining"
+}
+
+// drainOff takes clients again at once.
+func (p *program) drainOff() (bool, string) {
+	if p.state.Stopping.Load() {
+		return false, "stopping: SIGTERM came"
+	}
+	if !p.state.Held.Swap(false) {
+		return true, "serving already"
+	}
+	slog.Info("drain_off")
+	return true, "serving"
+}
--- /dev/null
+++ b/internal/program/reload.go
@@ -0,0 +1,41 @@
+package program
+
+// New configurations while the program runs.
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+
+	"rampspread/internal/wire"
+)
+
+// reload reads the configuration's file again, retunes the module to its settings and follows discovery where
+// it now says; the environment told only where discovery was at the start. A file that fails any check changes
+// nothing at all. Limits, telemetry, zones, kinds, tenants and the chat front's file hold from the next start.
+func (p *program) reload(ctx context.Context, path string) {
+	cfg, err := read(path, nil)
+	if err == nil {
+		err = cfg.Settings.Check()
+	}
+	var next wire.Classes
+	if err == nil {
+		next, err = p.classes.Retune(&cfg.Settings)
+	}
+	if err == nil {
+		next.Config.MayProbe = cfg.Settings.Limits.Probing
+		err = p.core.Retune(ctx, next.Config)
+	}
+	if err != nil {
+		slog.Warn("reload_failed", "err", err)
+		return
+	}
+	p.classes = next
+	p.settings.Store(fingerprint(&cfg.Settings))
+	p.front.SetClasses(next)
+	names := slices.Sorted(maps.Keys(next.Names))
+	slog.Info("reloaded", "discovery", cfg.Discovery, "classes", strings.Join(names, ","), "attempts", next.Config.MaxAttempts)
+	p.watch.Move(cfg.Discovery)
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -22,6 +22,8 @@
 
 	"rampspread/decide"
 	"rampspread/internal/core"
+	"rampspread/internal/permit"
+	"rampspread/internal/system"
 	"rampspread/internal/wire"
 )
 
@@ -46,12 +48,14 @@
 type Pool struct {
 	transport *http.Transport
 	settings  *wire.Settings
+	audit     *permit.Audit
 	bad       atomic.Int64
+	local     atomic.Int64
 }
 
 // New returns a Pool that holds at most conns connections to any one replica, and idle ones in all. A call
 // that had to wait for a connection would run late unseen, so conns is no bound for ordinary days.
-func New(settings *wire.Settings, conns, idleConns int) *Pool {
+func New(settings *wire.Settings, conns, idleConns int, machine system.System, audit *permit.Audit) *Pool {
 	// The time for which a state is held runs on while connections fail to come up. Half the settings' figure,
 	// and half of that time, leave room for a second and a third writer before the state must be let go.
 	dial := wire.FromMS(settings.Limits.ConnectTimeoutMs) / 2
@@ -65,10 +69,11 @@
 	if idle <= 0 {
 		idle = 10 * time.Second
 	}
-	dialer := &net.Dialer{Timeout: dial}
-	return &Pool{settings: settings, transport: &http.Transport{
+	p := &Pool{settings: settings, audit: audit}
+	dialer := &dialer{timeout: dial, machine: machine, failed: &p.local}
+	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
+			c, err := dialer.dial(ctx, network, addr)
 			if err != nil {
 				return nil, err // the Transport says what it was doing
 			}
@@ -82,12 +87,16 @@
 		// request may have run; ours close well before.
 		IdleConnTimeout:        idle * 7 / 10,
 		MaxResponseHeaderBytes: 16 << 10,
-	}}
+	}
+	return p
 }
 
 // Bad is how many answers, events and load reports made no sense.
 func (p *Pool) Bad() int64 { return p.bad.Load() }
 
+// LocalFailures is how often this machine, and no replica, kept a connection from being made.
+func (p *Pool) LocalFailures() int64 { return p.local.Load() }
+
 // Close shuts idle connections.
 func (p *Pool) Close() { p.transport.CloseIdleConnections() }
 
@@ -129,14 +138,17 @@
 // attempt implements core.Attempt.
 type attempt struct {
 	pool   *Pool
-	id     string
+	order  core.Order
+	until  time.Time // for all of it
+	window time.Time // with order.Repeat: until then servers drop repeats
 	ctx    context.Context
 	cancel context.CancelFunc
 
 	mu        sync.Mutex
-	body      *body // of the exchange that is out
-	writing   bool  // its first byte may have been written
-	withdrawn bool  // nothing of it may be written that has not begun
+	body      *body         // of the exchange that is out
+	writing   bool          // its first byte may have been written
+	withdrawn bool          // nothing of it may be written that has not begun
+	refused   permit.Reason // why its first byte was not written
 }
 
 // Abort implements core.Attempt.
@@ -169,41 +181,55 @@
 
 // begin settles whether an exchange's first byte may be written.
 func (a *attempt) begin() bool {
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.writing = !a.withdrawn
+	a.refused = permit.Begin{
+		Withdrawn:  a.withdrawn,
+		ClientGone: a.order.Gone != nil && a.order.Gone(),
+		Left:       a.until.Sub(now),
+		Repeat:     a.order.Repeat,
+		Window:     a.window.Sub(now),
+	}.Check()
+	a.writing = a.refused == permit.Allowed
 	return a.writing
 }
 
+// why is why the attempt did not begin; permit.Allowed: it did, or nothing kept it from that.
+func (a *attempt) why() permit.Reason {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.refused == permit.Allowed && a.withdrawn && !a.writing {
+		return permit.Withdrawn
+	}
+	return a.refused
+}
+
 // Send implements core.Servers.
-func (p *Pool) Send(call core.Call, to core.Target, limit time.Duration, ev core.Events) core.Attempt {
+func (p *Pool) Send(order core.Order, ev core.Events) core.Attempt {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &attempt{pool: p, id: call.ID, ctx: ctx, cancel: cancel, body: &body{rest: call.Body}}
-	go a.run(call, to, time.Now().Add(limit), ev)
+	now := time.Now()
+	a := &attempt{pool: p, order: order, until: now.Add(order.Limit), window: now.Add(order.Window), ctx: ctx, cancel: cancel,
+		body: &body{rest: order.Call.Body}}
+	go a.run(ev)
 	return a
 }
 
-func (a *attempt) run(call core.Call, to core.Target, until time.Time, ev core.Events) {
+func (a *attempt) run(ev core.Events) {
 	x := newExchange(a)
-	resp, err := x.roundTrip(call, to, until)
+	resp, err := x.roundTrip()
 	for n := 0; n < mostStale && err != nil && x.spent(); n++ {
 		// Its last byte was not written, so it is the same attempt, and the replica is not to blame.
-		a.mu.Lock()
-		if a.ctx.Err() != nil || a.withdrawn {
-			a.mu.Unlock()
+		slog.Info("other_connection", "id", a.order.Call.ID, "server", a.order.To.Name, "idle", time.Duration(x.idle.Load()), "err", err)
+		next := a.renew()
+		if next == nil {
 			break
 		}
-		a.body, a.writing = &body{rest: call.Body}, false
-		x = newExchange(a)
-		a.mu.Unlock()
-		resp, err = x.roundTrip(call, to, until)
+		x = next
+		resp, err = x.roundTrip()
 	}
 	if err != nil {
-		a.giveUp(x.wrote.Load())
-		o := x.lost()
-		slog.Info("call_failed", "id", call.ID, "server", to.Name, "outcome", o,
-			"idle", time.Duration(x.idle.Load()), "err", err)
-		ev.Ended(core.Outcome{Outcome: o, Begun: x.begun.Load()})
+		a.failed(x, err, ev)
 		return
 	}
 	if resp.StatusCode == http.StatusOK {
@@ -217,6 +243,30 @@
 	ev.Ended(a.pool.outcome(resp, data, err))
 }
 
+// failed tells of an attempt without an answer's head. One that this side kept from beginning, or this machine from connecting, has no
+// bearing on the replica.
+func (a *attempt) failed(x *exchange, err error, ev core.Events) {
+	a.giveUp(x.wrote.Load())
+	outcome, why := x.lost(), a.why()
+	if outcome == decide.ConnectFailed && !x.wrote.Load() && (why != permit.Allowed || errors.Is(err, errLocal)) {
+		outcome = decide.Moot
+	}
+	slog.Info("call_failed", "id", a.order.Call.ID, "server", a.order.To.Name, "outcome", outcome, "why", why.String(),
+		"idle", time.Duration(x.idle.Load()), "err", err)
+	ev.Ended(core.Outcome{Outcome: outcome, Begun: x.begun.Load()})
+}
+
+// renew begins the attempt anew on another connection; nil: it was given up meanwhile.
+func (a *attempt) renew() *exchange {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ctx.Err() != nil || a.withdrawn {
+		return nil
+	}
+	a.body, a.writing = &body{rest: a.order.Call.Body}, false
+	return newExchange(a)
+}
+
 // exchange is one use of a connection by an attempt.
 type exchange struct {
 	attempt *attempt
@@ -242,7 +292,8 @@
 
 // roundTrip sends a call and waits for the answer's head. A replica may begin a head and never end it, which
 // the Transport does not notice.
-func (x *exchange) roundTrip(call core.Call, to core.Target, until time.Time) (*http.Response, error) {
+func (x *exchange) roundTrip() (*http.Response, error) {
+	call, to, until := x.attempt.order.Call, x.attempt.order.To, x.attempt.until
 	var req *http.Request
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
--- a/internal/servers/stream.go
+++ b/internal/servers/stream.go
@@ -54,7 +54,7 @@
 	if len(s.events) == 0 {
 		resp.Body.Close()
 		a.giveUp(true)
-		slog.Warn("no_first_event", "id", a.id, "err", s.err)
+		slog.Warn("no_first_event", "id", a.order.Call.ID, "err", s.err)
 		ev.Ended(core.Outcome{Outcome: decide.Reset, Begun: true}) // it may have run
 		return
 	}
@@ -170,7 +170,7 @@
 		o.Outcome = decide.Served
 		o.Kept, o.Load = s.attempt.pool.usage(s.tail)
 	} else if s.err != nil {
-		slog.Warn("stream_broken", "id", s.attempt.id, "err", s.err)
+		slog.Warn("stream_broken", "id", s.attempt.order.Call.ID, "err", s.err)
 	}
 	s.ev.Ended(o)
 }
