--- /dev/null
+++ b/decide/window_test.go
@@ -0,0 +1,19 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// A request that may have run is not sent again so late that a process that is held up for 0.15 s would write it when the servers no
+// longer drop its repeats.
+func TestRepeatsAllowForAHoldUp(t *testing.T) {
+	for left, again := range map[time.Duration]bool{100 * ms: false, 500 * ms: true} {
+		b := newBench(t, func(c *Config) { c.Classes[2].Window = 3 * time.Second })
+		_, writer := b.reads(1, 2)
+		acts := b.do(3*time.Second-left, Ended{Request: 1, Attempt: 1, Server: writer, Outcome: Reset, After: 3*time.Second - left})
+		if has[Send](acts) != again {
+			t.Errorf("with %v of the window left: %+v", left, acts)
+		}
+	}
+}
