Measure what a filing was taken by the machine's own clock, end windows for repeats 0.2 s early

beside: a name's file says when it was taken by both clocks (system.Stamp, which newest had for itself); its age counts by the clock since boot, so a stepped wall clock neither frees a filing that ran nor keeps it.

whole.Replace writes aside under one name with a lock, so kills leave at most one file; after an error all is written again, whatever a later sync says. Its calls ask system.System first.

--- a/decide/write.go
+++ b/decide/write.go
@@ -110,6 +110,10 @@
 	return f
 }
 
+// heldUp is how much sooner a window for repeats is over than its time: a process may be held up for 0.15 s between a decision
+// and the bytes that follow from it, and its connection may have to settle.
+const heldUp = 200 * ms
+
 // repeats reports whether a request that may have run may go to the server.
 func (r *Router) repeats(q *request, s *server) bool {
 	c := r.cfg.Classes[q.Class]
@@ -117,7 +121,7 @@
 		return true
 	}
 	on := r.byID[q.ranOn]
-	if c.Effect == Unsafe || on == nil || r.now >= q.ranAt+c.Window {
+	if c.Effect == Unsafe || on == nil || r.now+heldUp >= q.ranAt+c.Window {
 		return false
 	}
 	return c.Group == GroupAll || c.Group == GroupZone && s.Zone == on.Zone ||
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -9,10 +9,11 @@
 	"rampspread/internal/chat"
 	"rampspread/internal/state/beside"
 	"rampspread/internal/state/handover"
+	"rampspread/internal/system"
 )
 
 // shareOpen shares what is in hand with other processes of this name on this machine, where they have a folder in common.
-func shareOpen(dir, name string, chat *chat.Config) *beside.Table {
+func shareOpen(machine system.System, dir, name string, chat *chat.Config) *beside.Table {
 	if dir == "" {
 		return nil
 	}
@@ -20,7 +21,7 @@
 	if chat != nil {
 		keep = chat.Keep()
 	}
-	t, err := beside.Start(dir, name, keep)
+	t, err := beside.Start(machine, dir, name, keep)
 	if err != nil {
 		slog.Warn("beside_refused", "err", err)
 	}
@@ -62,7 +63,7 @@
 
 // as is whose beliefs are packed: the fleet's, under the settings in force.
 func (k peers) as() handover.Place {
-	return handover.Place{Name: k.fleet, Settings: k.p.settings.Load()}
+	return handover.Place{Machine: k.p.machine, Name: k.fleet, Settings: k.p.settings.Load()}
 }
 
 // Tell implements fleet.Knows.
--- a/internal/program/newest.go
+++ b/internal/program/newest.go
@@ -11,6 +11,7 @@
 	"rampspread/internal/discovery"
 	"rampspread/internal/state/newest"
 	"rampspread/internal/state/whole"
+	"rampspread/internal/system"
 )
 
 // keepList saves the list that this process acts on, for its next life; nil without a folder for state.
@@ -27,7 +28,7 @@
 		if err != nil {
 			return fmt.Errorf("newest: %w", err)
 		}
-		return newest.Save(files.state, newest.List{Owner: p.listOwner(files), At: newest.Now(), Version: held.Generation, Entries: entries})
+		return newest.Save(p.machine, files.state, newest.List{Owner: p.listOwner(files), At: system.Now(p.machine), Version: held.Generation, Entries: entries})
 	})
 }
 
@@ -48,7 +49,7 @@
 	if files.state == "" {
 		return l, nil
 	}
-	kept, err := newest.Find(files.state, p.listOwner(files), newest.Now())
+	kept, err := newest.Find(files.state, p.listOwner(files), system.Now(p.machine))
 	stored := discovery.List{Generation: kept.Version, Reset: true}
 	if err == nil {
 		err = json.Unmarshal(kept.Entries, &stored.Instances)
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -138,11 +138,11 @@
 	}
 	p.watch = discovery.New(cfg.Discovery, &cfg.Settings, seed, publish)
 	p.watch.Fleet(p.alike(files.fleet, cfg))
-	if p.claims, err = p.ledger(files, time.Now()); err != nil {
+	if p.claims, err = p.ledger(files, machine.Wall()); err != nil {
 		return err
 	}
 	p.front = clients.New(p.core, &cfg.Settings, classes)
-	p.beside = shareOpen(o.handover, cfg.Name, chatCfg)
+	p.beside = shareOpen(machine, o.handover, cfg.Name, chatCfg)
 	p.front.Beside(p.beside)
 	running, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -161,7 +161,7 @@
 		tasks.Go(func() { kept.Run(running) })
 	}
 	if files.state != "" && files.fleet != nil {
-		p.numbers = terms.Open(files.state, terms.Owner(files.identity()))
+		p.numbers = terms.Open(machine, files.state, terms.Owner(files.identity()))
 		tasks.Go(func() { p.numbers.Run(running) })
 	}
 	tasks.Go(func() { p.watch.Run(running) })
@@ -171,7 +171,7 @@
 	if p.claims != nil {
 		tasks.Go(func() { p.claims.Run(running) })
 	}
-	at := handover.Place{Dir: o.handover, Name: cfg.Name, Settings: p.settings.Load()}
+	at := handover.Place{Machine: machine, Dir: o.handover, Name: cfg.Name, Settings: p.settings.Load()}
 	if o.handover != "" {
 		tasks.Go(func() { p.handOver(running, at) })
 	}
--- a/internal/state/beside/beside.go
+++ b/internal/state/beside/beside.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"rampspread/internal/system"
 )
 
 const (
@@ -59,6 +61,7 @@
 
 // Table is what one process has in hand. A nil Table is one that is always alone. It is safe for use by several goroutines.
 type Table struct {
+	machine   system.System
 	base, own string
 	keep      time.Duration // filings are remembered for so long
 	lock      *os.File
@@ -84,10 +87,10 @@
 }
 
 // Start makes this process's folder below dir, under the name that the processes share. Filings are remembered for keep.
-func Start(dir, name string, keep time.Duration) (*Table, error) {
+func Start(machine system.System, dir, name string, keep time.Duration) (*Table, error) {
 	sum := sha256.Sum256([]byte(name)) // a name is no path
 	base := filepath.Join(dir, "rampspread-"+hex.EncodeToString(sum[:8])+".beside")
-	own := filepath.Join(base, strconv.Itoa(os.Getpid())+"-"+strconv.FormatInt(time.Now().UnixNano(), 36))
+	own := filepath.Join(base, strconv.Itoa(os.Getpid())+"-"+strconv.FormatInt(machine.Wall().UnixNano(), 36))
 	if err := os.MkdirAll(base, 0o700); err != nil {
 		return nil, fmt.Errorf("beside: %w", err)
 	}
@@ -110,7 +113,7 @@
 		os.RemoveAll(aside)
 		return nil, fmt.Errorf("beside: %w", err)
 	}
-	t := &Table{base: base, own: own, keep: keep, lock: lock, patience: askMost, asks: make(chan struct{}, asksMost), held: map[string]time.Time{},
+	t := &Table{machine: machine, base: base, own: own, keep: keep, lock: lock, patience: askMost, asks: make(chan struct{}, asksMost), held: map[string]time.Time{},
 		ran: map[string]bool{}, shown: true, beside: true}
 	t.step() // before anything is taken
 	return t, nil
@@ -208,8 +211,7 @@
 	}
 }
 
-// level writes a name down or takes it back, by whether this process has it in hand. A filing's file has the time at which it was
-// taken, and a word in it once it has ended.
+// level writes a name down or takes it back, by whether this process has it in hand.
 func (t *Table) level(name string) error {
 	t.writing.Lock()
 	defer t.writing.Unlock()
@@ -220,13 +222,7 @@
 	path := filepath.Join(t.own, name)
 	var err error
 	if held && beside {
-		var text []byte
-		if ran {
-			text = []byte("ran")
-		}
-		if err = os.WriteFile(path, text, 0o600); err == nil {
-			err = os.Chtimes(path, at, at)
-		}
+		err = t.show(path, at, ran)
 	} else if err = os.Remove(path); errors.Is(err, fs.ErrNotExist) {
 		err = nil
 	}
@@ -313,7 +309,7 @@
 		if !strings.HasPrefix(e.Name(), string(Filing)) {
 			continue
 		}
-		if info, err := e.Info(); err == nil && time.Since(info.ModTime()) < t.keep {
+		if f, err := t.read(filepath.Join(dir, e.Name())); err == nil && f.age < t.keep {
 			stays = true
 		}
 	}
@@ -401,14 +397,14 @@
 		return Unknown
 	}
 	for _, o := range others {
-		info, err := os.Stat(filepath.Join(o.dir, file))
+		f, err := t.read(filepath.Join(o.dir, file))
 		switch {
 		case errors.Is(err, fs.ErrNotExist):
 		case err != nil:
 			t.fail(err)
 			return Unknown
-		case kind == Filing && time.Since(info.ModTime()) >= t.keep:
-		case kind == Filing && (!o.lives || info.Size() > 0):
+		case kind == Filing && f.age >= t.keep:
+		case kind == Filing && (!o.lives || f.ran):
 			return MayRan
 		case o.lives:
 			return Open
--- a/internal/state/beside/beside_test.go
+++ b/internal/state/beside/beside_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"rampspread/internal/system"
 )
 
 const keep = 2 * time.Second
@@ -27,7 +29,7 @@
 }
 
 func serveOther(dir string) int {
-	t, err := Start(dir, "n0", keep)
+	t, err := Start(system.Real(), dir, "n0", keep)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -234,7 +236,7 @@
 func TestFolderFails(t *testing.T) {
 	dir := t.TempDir()
 	other := start(t, dir)
-	table, err := Start(dir, "n0", keep)
+	table, err := Start(system.Real(), dir, "n0", keep)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -269,7 +271,7 @@
 		t.Errorf("without a folder: %d", v)
 	}
 	other.end()
-	if _, err := Start(filepath.Join(dir, "none", "\x00"), "n0", keep); err == nil {
+	if _, err := Start(system.Real(), filepath.Join(dir, "none", "\x00"), "n0", keep); err == nil {
 		t.Error("a folder that cannot be made was taken")
 	}
 }
--- a/internal/state/handover/handover.go
+++ b/internal/state/handover/handover.go
@@ -18,6 +18,7 @@
 
 	"rampspread/decide"
 	"rampspread/internal/state/whole"
+	"rampspread/internal/system"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Name string
 	// Settings is the fingerprint of the settings: what was learnt under others is void.
 	Settings uint64
+	// Machine is on which it is.
+	Machine system.System
 }
 
 func (p Place) file(kind string) string {
@@ -102,7 +105,7 @@
 	if len(text) > Most {
 		return fmt.Errorf("handover: %d bytes, at most %d", len(text), Most)
 	}
-	if err := whole.Replace(p.file(".beliefs"), text, false); err != nil {
+	if err := whole.Replace(p.Machine, p.file(".beliefs"), text, false); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
--- a/internal/state/handover/handover_test.go
+++ b/internal/state/handover/handover_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rampspread/decide"
+	"rampspread/internal/system"
 	"rampspread/internal/testkit"
 )
 
@@ -20,7 +21,7 @@
 
 // What one leaves the next finds, whole; what is spoilt, cut, another member's or of other settings is void, and never a panic.
 func TestLeaveAndFind(t *testing.T) {
-	p := Place{Dir: t.TempDir(), Name: "n/0", Settings: 5}
+	p := Place{Machine: system.Real(), Dir: t.TempDir(), Name: "n/0", Settings: 5}
 	if _, err := p.Find(); !errors.Is(err, os.ErrNotExist) {
 		t.Errorf("nothing was left: %v", err)
 	}
@@ -31,7 +32,7 @@
 	if err != nil || b.At != time.Hour || b.Texts[0].Tokens != 9 || b.Servers[0].Health[0].Value != 0.5 || b.Lag.Sum != 3 {
 		t.Fatalf("%+v, %v", b, err)
 	}
-	for _, other := range []Place{{p.Dir, "n/0", 6}, {p.Dir, "n_0", 5}} { // the second has the same file
+	for _, other := range []Place{{p.Dir, "n/0", 6, p.Machine}, {p.Dir, "n_0", 5, p.Machine}} { // the second has the same file
 		if _, err := other.Find(); !errors.Is(err, ErrVoid) {
 			t.Errorf("%+v: %v", other, err)
 		}
@@ -58,7 +59,7 @@
 
 // One that starts asks, and one that serves answers with what it knows then; with nobody there it goes on after a while.
 func TestAskAndAnswer(t *testing.T) {
-	p := Place{Dir: t.TempDir(), Name: "n0"}
+	p := Place{Machine: system.Real(), Dir: t.TempDir(), Name: "n0"}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -72,7 +73,7 @@
 	if len(got) != 2 || got[0] != time.Second || got[1] != time.Minute {
 		t.Errorf("found %v", got)
 	}
-	alone := Place{Dir: t.TempDir(), Name: "n1"}
+	alone := Place{Machine: system.Real(), Dir: t.TempDir(), Name: "n1"}
 	from := time.Now()
 	alone.Ask(ctx, func(decide.Beliefs) { t.Error("something was found") })
 	if took := time.Since(from); took > askFor+time.Second {
@@ -82,7 +83,7 @@
 		t.Error("the question is still there")
 	}
 	testkit.Eventually(t, "no question of the first", func() bool { _, err := os.Stat(p.file(".ask")); return err != nil })
-	(Place{Dir: "/dev/null/none", Name: "x"}).Ask(ctx, func(decide.Beliefs) { t.Error("something was found") })
+	(Place{Machine: system.Real(), Dir: "/dev/null/none", Name: "x"}).Ask(ctx, func(decide.Beliefs) { t.Error("something was found") })
 }
 
 func FuzzDecode(f *testing.F) {
--- a/internal/state/newest/newest.go
+++ b/internal/state/newest/newest.go
@@ -8,12 +8,10 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"rampspread/internal/state/whole"
+	"rampspread/internal/system"
 )
 
 const (
@@ -32,43 +30,16 @@
 	Fleet, Name, Discovery string
 }
 
-// Clock is a time by both clocks of a machine: the wall clock may be set back, and the other begins anew with each boot.
-type Clock struct {
-	Wall   int64  // ns since 1970
-	Boot   int64  // ns since the machine started, asleep or not
-	BootID string // of this start
-}
-
-// Now reads both clocks.
-func Now() Clock {
-	c := Clock{Wall: time.Now().UnixNano()}
-	var ts unix.Timespec
-	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
-	if err == nil && unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) == nil {
-		c.Boot, c.BootID = ts.Nano(), strings.TrimSpace(string(id))
-	}
-	return c
-}
-
-// age is how long before now a time was: by the machine's own clock within one of its starts, whatever was done to the wall clock,
-// and by the wall clock else.
-func (c Clock) age(now Clock) time.Duration {
-	if c.BootID != "" && c.BootID == now.BootID {
-		return time.Duration(now.Boot - c.Boot)
-	}
-	return time.Duration(now.Wall - c.Wall)
-}
-
 // List is what is stored.
 type List struct {
 	Owner   Owner
-	At      Clock
+	At      system.Stamp
 	Version uint64
 	Entries json.RawMessage // in discovery's form
 }
 
 // Save replaces the list in a folder; it is on the disk when Save returns.
-func Save(dir string, l List) error {
+func Save(machine system.System, dir string, l List) error {
 	body, err := json.Marshal(l)
 	if err != nil {
 		return fmt.Errorf("newest: %w", err)
@@ -79,14 +50,14 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return fmt.Errorf("newest: %w", err)
 	}
-	if err := whole.Replace(filepath.Join(dir, fileName), whole.Seal(magic, body), true); err != nil {
+	if err := whole.Replace(machine, filepath.Join(dir, fileName), whole.Seal(magic, body), true); err != nil {
 		return fmt.Errorf("newest: %w", err)
 	}
 	return nil
 }
 
 // Find reads the list in a folder; fs.ErrNotExist: there is none. ErrVoid: it is of no use to this owner now.
-func Find(dir string, who Owner, now Clock) (List, error) {
+func Find(dir string, who Owner, now system.Stamp) (List, error) {
 	text, err := whole.Read(filepath.Join(dir, fileName), most)
 	if err != nil && !errors.Is(err, whole.ErrSpoilt) {
 		return List{}, fmt.Errorf("newest: %w", err)
@@ -103,10 +74,10 @@
 		return List{}, fmt.Errorf("%w: %w", ErrVoid, err)
 	case l.Owner != who:
 		return List{}, fmt.Errorf("%w: it is that of %q of %q at %s", ErrVoid, l.Owner.Name, l.Owner.Fleet, l.Owner.Discovery)
-	case l.At.age(now) < 0:
+	case l.At.Age(now) < 0:
 		return List{}, fmt.Errorf("%w: it is from the future", ErrVoid)
-	case l.At.age(now) > MaxAge:
-		return List{}, fmt.Errorf("%w: it is %v old", ErrVoid, l.At.age(now).Round(time.Second))
+	case l.At.Age(now) > MaxAge:
+		return List{}, fmt.Errorf("%w: it is %v old", ErrVoid, l.At.Age(now).Round(time.Second))
 	}
 	return l, nil
 }
--- a/internal/state/newest/newest_test.go
+++ b/internal/state/newest/newest_test.go
@@ -9,27 +9,28 @@
 	"testing"
 	"time"
 
+	"rampspread/internal/system"
 	"rampspread/internal/testkit"
 )
 
 var owner = Owner{Fleet: "f", Name: "n0", Discovery: "127.0.0.1:8500"}
 
-func stored(at Clock) List {
+func stored(at system.Stamp) List {
 	return List{Owner: owner, At: at, Version: 7, Entries: []byte(`[{"instanceId":"s1"}]`)}
 }
 
 func TestSaveAndFind(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "made")
-	if _, err := Find(dir, owner, Now()); !errors.Is(err, fs.ErrNotExist) {
+	if _, err := Find(dir, owner, system.Now(system.Real())); !errors.Is(err, fs.ErrNotExist) {
 		t.Errorf("in no folder: %v", err)
 	}
 	for version := range uint64(3) { // each replaces the one before
-		l := stored(Now())
+		l := stored(system.Now(system.Real()))
 		l.Version = version
-		if err := Save(dir, l); err != nil {
+		if err := Save(system.Real(), dir, l); err != nil {
 			t.Fatal(err)
 		}
-		if got, err := Find(dir, owner, Now()); err != nil || got.Version != version || string(got.Entries) != string(l.Entries) {
+		if got, err := Find(dir, owner, system.Now(system.Real())); err != nil || got.Version != version || string(got.Entries) != string(l.Entries) {
 			t.Errorf("found %+v, %v", got, err)
 		}
 	}
@@ -37,7 +38,7 @@
 		t.Errorf("%d files are left", len(files))
 	}
 	for _, other := range []Owner{{"g", "n0", owner.Discovery}, {"f", "n1", owner.Discovery}, {"f", "n0", "127.0.0.1:8501"}} {
-		if _, err := Find(dir, other, Now()); !errors.Is(err, ErrVoid) || strings.Contains(err.Error(), "\n") {
+		if _, err := Find(dir, other, system.Now(system.Real())); !errors.Is(err, ErrVoid) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("of %+v: %v", other, err)
 		}
 	}
@@ -46,7 +47,7 @@
 // A file that is cut anywhere, or has any bit flipped, is refused whole.
 func TestSpoiltListIsVoid(t *testing.T) {
 	dir := t.TempDir()
-	if err := Save(dir, stored(Now())); err != nil {
+	if err := Save(system.Real(), dir, stored(system.Now(system.Real()))); err != nil {
 		t.Fatal(err)
 	}
 	path := filepath.Join(dir, fileName)
@@ -58,7 +59,7 @@
 		if err := os.WriteFile(path, text, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if l, err := Find(dir, owner, Now()); !errors.Is(err, ErrVoid) {
+		if l, err := Find(dir, owner, system.Now(system.Real())); !errors.Is(err, ErrVoid) {
 			t.Errorf("%s: %+v, %v", what, l, err)
 		}
 	}
@@ -75,22 +76,22 @@
 // The age goes by the machine's own clock within one of its starts, and by the wall clock after another one.
 func TestAge(t *testing.T) {
 	hour := int64(time.Hour)
-	saved := Clock{Wall: 100 * hour, Boot: 5 * hour, BootID: "a"}
+	saved := system.Stamp{Wall: 100 * hour, Boot: 5 * hour, BootID: "a"}
 	for what, c := range map[string]struct {
-		now  Clock
+		now  system.Stamp
 		void bool
 	}{
 		"at once":                         {saved, false},
-		"the wall clock set back an hour": {Clock{99 * hour, 5*hour + 1, "a"}, false},
-		"and set forward":                 {Clock{900 * hour, 5*hour + 1, "a"}, false},
-		"an hour and more later":          {Clock{100 * hour, 6*hour + 1, "a"}, true},
-		"after a boot, soon":              {Clock{100*hour + 1, 1, "b"}, false},
-		"after a boot, late":              {Clock{101*hour + 1, 1, "b"}, true},
-		"after a boot, the wall set back": {Clock{99 * hour, 1, "b"}, true},
-		"no own clock":                    {Clock{100*hour + 1, 0, ""}, false},
+		"the wall clock set back an hour": {system.Stamp{Wall: 99 * hour, Boot: 5*hour + 1, BootID: "a"}, false},
+		"and set forward":                 {system.Stamp{Wall: 900 * hour, Boot: 5*hour + 1, BootID: "a"}, false},
+		"an hour and more later":          {system.Stamp{Wall: 100 * hour, Boot: 6*hour + 1, BootID: "a"}, true},
+		"after a boot, soon":              {system.Stamp{Wall: 100*hour + 1, Boot: 1, BootID: "b"}, false},
+		"after a boot, late":              {system.Stamp{Wall: 101*hour + 1, Boot: 1, BootID: "b"}, true},
+		"after a boot, the wall set back": {system.Stamp{Wall: 99 * hour, Boot: 1, BootID: "b"}, true},
+		"no own clock":                    {system.Stamp{Wall: 100*hour + 1, Boot: 0, BootID: ""}, false},
 	} {
 		dir := t.TempDir()
-		if err := Save(dir, stored(saved)); err != nil {
+		if err := Save(system.Real(), dir, stored(saved)); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := Find(dir, owner, c.now); errors.Is(err, ErrVoid) != c.void || !c.void && err != nil {
@@ -101,7 +102,7 @@
 
 func FuzzFind(f *testing.F) {
 	dir := f.TempDir()
-	if err := Save(dir, stored(Now())); err != nil {
+	if err := Save(system.Real(), dir, stored(system.Now(system.Real()))); err != nil {
 		f.Fatal(err)
 	}
 	path := filepath.Join(dir, fileName)
@@ -117,7 +118,7 @@
 		if err := os.WriteFile(at, text, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if l, err := Find(filepath.Dir(at), owner, Now()); err == nil && l.Owner != owner {
+		if l, err := Find(filepath.Dir(at), owner, system.Now(system.Real())); err == nil && l.Owner != owner {
 			t.Errorf("took %+v", l)
 		}
 	})
--- a/internal/state/terms/terms.go
+++ b/internal/state/terms/terms.go
@@ -14,6 +14,7 @@
 	"sync"
 
 	"rampspread/internal/state/whole"
+	"rampspread/internal/system"
 )
 
 const (
@@ -37,10 +38,11 @@
 
 // Numbers keeps the bound of one process. It is safe for use by several goroutines.
 type Numbers struct {
-	path   string
-	who    Owner
-	floor  uint64
-	keeper *whole.Keeper
+	machine system.System
+	path    string
+	who     Owner
+	floor   uint64
+	keeper  *whole.Keeper
 
 	mu    sync.Mutex
 	bound uint64
@@ -48,8 +50,8 @@
 
 // Open reads the bound in a folder, which may not be there yet. One that is spoilt or another's is refused with a line, and the
 // start is as from nothing.
-func Open(dir string, who Owner) *Numbers {
-	n := &Numbers{path: filepath.Join(dir, fileName), who: who}
+func Open(machine system.System, dir string, who Owner) *Numbers {
+	n := &Numbers{machine: machine, path: filepath.Join(dir, fileName), who: who}
 	n.keeper = whole.NewKeeper("lease numbers", n.save)
 	s, err := n.read()
 	switch {
@@ -108,5 +110,5 @@
 	if err := os.MkdirAll(filepath.Dir(n.path), 0o700); err != nil {
 		return fmt.Errorf("lease numbers: %w", err)
 	}
-	return whole.Replace(n.path, whole.Seal(magic, body), true)
+	return whole.Replace(n.machine, n.path, whole.Seal(magic, body), true)
 }
--- a/internal/state/terms/terms_test.go
+++ b/internal/state/terms/terms_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"testing"
 
+	"rampspread/internal/system"
 	"rampspread/internal/testkit"
 )
 
@@ -14,7 +15,7 @@
 // lived is a life that saw a number, and whose bound came to the disk.
 func lived(t *testing.T, dir string, number uint64) {
 	t.Helper()
-	n := Open(dir, owner)
+	n := Open(system.Real(), dir, owner)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); n.Run(ctx) }()
@@ -27,19 +28,19 @@
 // Over any lives the floor is above all that was seen before, whenever a process was killed.
 func TestNumbersGrowOverLives(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "made")
-	if n := Open(dir, owner); n.Floor() != 0 {
+	if n := Open(system.Real(), dir, owner); n.Floor() != 0 {
 		t.Errorf("a first life begins at %d", n.Floor())
 	}
 	seen := uint64(0)
 	for _, number := range []uint64{1, 40_000, 90_000, 3_000_000} {
 		lived(t, dir, number)
-		n := Open(dir, owner)
+		n := Open(system.Real(), dir, owner)
 		if n.Floor() <= seen || n.Floor() < number {
 			t.Errorf("after %d a life begins at %d", number, n.Floor())
 		}
 		seen = n.Floor()
 	}
-	if n := Open(dir, Owner{"f", "n1"}); n.Floor() != 0 {
+	if n := Open(system.Real(), dir, Owner{"f", "n1"}); n.Floor() != 0 {
 		t.Errorf("another member begins at %d", n.Floor())
 	}
 }
@@ -58,7 +59,7 @@
 			if err := os.WriteFile(path, text, 0o600); err != nil {
 				t.Fatal(err)
 			}
-			if n := Open(dir, owner); n.Floor() != 0 {
+			if n := Open(system.Real(), dir, owner); n.Floor() != 0 {
 				t.Fatalf("%d bytes, the last one off: begins at %d", len(text), n.Floor())
 			}
 		}
--- a/internal/state/whole/aside_test.go
+++ b/internal/state/whole/aside_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"rampspread/internal/system"
 	"rampspread/internal/testkit"
 )
 
@@ -14,7 +15,7 @@
 func TestMain(m *testing.M) {
 	if path := os.Getenv("WHOLE_PATH"); path != "" {
 		for {
-			if err := Replace(path, make([]byte, 1<<20), true); err != nil {
+			if err := Replace(system.Real(), path, make([]byte, 1<<20), true); err != nil {
 				os.Exit(1)
 			}
 		}
@@ -37,7 +38,7 @@
 		p.Process.Kill()
 		p.Wait()
 	}
-	if err := Replace(path, []byte("last"), true); err != nil {
+	if err := Replace(system.Real(), path, []byte("last"), true); err != nil {
 		t.Fatal(err)
 	}
 	left, err := os.ReadDir(dir)
--- a/internal/state/whole/whole.go
+++ b/internal/state/whole/whole.go
@@ -10,8 +10,12 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
+
+	"rampspread/internal/system"
 )
 
 // ErrSpoilt says that a file is cut, flipped or of another kind.
@@ -36,18 +40,19 @@
 }
 
 // Replace writes a file aside and renames it over the one that was. With sync what it says is on the disk, under its name,
-// when it returns; without, a machine that fails may lose it.
-func Replace(path string, text []byte, sync bool) error {
-	dir := filepath.Dir(path)
-	aside, err := os.CreateTemp(dir, ".aside-*")
+// when it returns; without, a machine that fails may lose it. After an error the whole is to be written again: what a sync that failed
+// was about is no longer known to be on the disk, whatever a later sync says.
+func Replace(machine system.System, path string, text []byte, sync bool) error {
+	aside, err := openAside(path)
 	if err != nil {
 		return fmt.Errorf("replace: %w", err)
 	}
-	_, err = aside.Write(text)
-	if err == nil && sync {
-		err = aside.Sync() // before the name: a name that outlives its bytes would be a spoilt file
+	defer aside.Close() // which ends its lock
+	err = write(machine, aside, text, sync)
+	if err == nil {
+		err = machine.Before(system.Rename)
 	}
-	if err = errors.Join(err, aside.Close()); err == nil {
+	if err == nil {
 		err = os.Rename(aside.Name(), path)
 	}
 	if err != nil {
@@ -57,14 +62,74 @@
 	if !sync {
 		return nil
 	}
+	if err := syncDir(machine, filepath.Dir(path)); err != nil {
+		return fmt.Errorf("replace: %w", err)
+	}
+	return nil
+}
+
+func write(machine system.System, f *os.File, text []byte, sync bool) error {
+	if err := machine.Before(system.Write); err != nil {
+		return err
+	}
+	if _, err := f.Write(text); err != nil || !sync {
+		return err
+	}
+	if err := machine.Before(system.Sync); err != nil {
+		return err
+	}
+	return f.Sync() // before the name: a name that outlives its bytes would be a spoilt file
+}
+
+func syncDir(machine system.System, dir string) error {
+	if err := machine.Before(system.Sync); err != nil {
+		return err
+	}
 	d, err := os.Open(dir)
 	if err != nil {
-		return fmt.Errorf("replace: %w", err)
+		return err
 	}
-	if err := errors.Join(d.Sync(), d.Close()); err != nil {
-		return fmt.Errorf("replace: %w", err)
+	return errors.Join(d.Sync(), d.Close())
+}
+
+const (
+	asideTries = 20
+	asidePause = 5 * time.Millisecond
+)
+
+// errBusy says that another process is writing the same file.
+var errBusy = errors.New("another process is writing it")
+
+// openAside opens the one file beside path in which its next content is written, empty and locked: what a killed process left there is
+// written over, so it does not pile up.
+func openAside(path string) (*os.File, error) {
+	name := filepath.Join(filepath.Dir(path), "."+filepath.Base(path)+".aside")
+	for range asideTries {
+		f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		if unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil && stillNamed(f, name) {
+			if err := f.Truncate(0); err != nil {
+				f.Close()
+				return nil, err
+			}
+			return f, nil
+		}
+		f.Close()
+		time.Sleep(asidePause)
 	}
-	return nil
+	return nil, errBusy
+}
+
+// stillNamed tells whether a file that was opened has its name yet: another process may have renamed it since.
+func stillNamed(f *os.File, name string) bool {
+	mine, err := f.Stat()
+	if err != nil {
+		return false
+	}
+	there, err := os.Stat(name)
+	return err == nil && os.SameFile(mine, there)
 }
 
 // Read reads a file of so many bytes at the most.
--- a/internal/state/whole/whole_test.go
+++ b/internal/state/whole/whole_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"testing"
 
+	"rampspread/internal/system"
 	"rampspread/internal/testkit"
 )
 
@@ -38,7 +39,7 @@
 func TestReplaceIsWhole(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "file")
 	for i, body := range []string{"one", "another one", ""} {
-		if err := Replace(path, Seal("m", []byte(body)), i > 0); err != nil {
+		if err := Replace(system.Real(), path, Seal("m", []byte(body)), i > 0); err != nil {
 			t.Fatal(err)
 		}
 		text, err := Read(path, 100)
@@ -53,7 +54,7 @@
 		t.Errorf("a file that is too long: %v", err)
 	}
 	// Where the new one cannot be written the old one stays, and nothing is left beside it.
-	if err := Replace(filepath.Join(path, "no folder"), nil, true); err == nil {
+	if err := Replace(system.Real(), filepath.Join(path, "no folder"), nil, true); err == nil {
 		t.Error("written below a file")
 	}
 	if files, _ := os.ReadDir(filepath.Dir(path)); len(files) != 1 {
