--- a/internal/clients/room_test.go
+++ b/internal/clients/room_test.go
@@ -31,3 +31,23 @@
 		t.Fatal("closed with a request read and no answer given")
 	}
 }
+
+// When a connection last sent something is a time of the clock that only advances: a wall clock that is stepped makes no client that is
+// writing a silent one, and none that is silent a writer.
+func TestLastByteIsNoWallTime(t *testing.T) {
+	h, c := pair(t)
+	before := time.Now()
+	if _, err := c.Write([]byte(asks)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := h.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	last := lastByte(h, before)
+	if last == last.Round(0) { // which strips the monotonic reading
+		t.Fatalf("%v has no monotonic reading", last)
+	}
+	if last.Before(before) || last.After(time.Now()) {
+		t.Errorf("%v is not between %v and now", last, before)
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -54,6 +54,11 @@
 }
 
 func startWith(t *testing.T, change func(*decide.Config)) (*hand, *core.Core) {
+	t.Helper()
+	return startOn(t, system.Real(), change)
+}
+
+func startOn(t *testing.T, machine system.System, change func(*decide.Config)) (*hand, *core.Core) {
 	t.Helper()
 	h := &hand{sends: make(chan sent, 64), aborts: make(chan string, 64), releases: make(chan string, 64),
 		withdrew: make(chan string, 64)}
@@ -62,7 +67,7 @@
 		t.Fatal(err)
 	}
 	change(&cfg)
-	c, err := core.New(cfg, 1, h, system.Real(), nil)
+	c, err := core.New(cfg, 1, h, machine, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -48,20 +48,32 @@
 	p.state.Closing.Store(true)
 	lateOnes := time.AfterFunc(tooLate-lameDuck, func() { p.state.Late.Store(true) })
 	defer lateOnes.Stop()
-	// The guards close what rests, not the servers' Shutdown: that closes connections on which a request is just being read, and
-	// drops one whose head has been read, without an answer.
-	begun := time.Now()
+	err := p.closeConnections()
+	for _, s := range p.servers {
+		s.Close()
+	}
+	if p.beside.Beside() {
+		time.Sleep(lastWords) // what was let go last is still on its way, and the process that goes on cannot let go of it
+	}
+	return err
+}
+
+// closeConnections closes the listeners once new connections have stopped coming, and connections as they come to rest, and returns when
+// none is left. The guards close what rests, not the servers' Shutdown: that closes connections on which a request is just being read,
+// and drops one whose head has been read, without an answer.
+func (p *program) closeConnections() error {
 	tick := time.NewTicker(closeEvery)
 	defer tick.Stop()
+	begun := time.Now()
+	busy := begun // last
 	var errs []error
 	for listening := true; ; <-tick.C {
 		if listening && time.Since(begun) >= lastCall {
 			listening = false
-			for _, l := range p.listens {
-				if err := l.Close(); err != nil {
-					errs = append(errs, fmt.Errorf("shutdown: %w", err))
-				}
-			}
+			errs = append(errs, p.closeListeners())
+		}
+		if p.busy() {
+			busy = time.Now()
 		}
 		open := 0
 		for _, g := range p.guards {
@@ -69,18 +81,20 @@
 			open += g.Open()
 		}
 		if !listening && open == 0 {
-			break
+			return errors.Join(errs...)
 		}
-		if time.Since(begun) >= lastCall+shutdownFor && !p.busy() {
-			errs = append(errs, fmt.Errorf("shutdown: %d connections are still open", open))
-			break
+		if time.Since(busy) >= lastCall+shutdownFor {
+			return errors.Join(append(errs, fmt.Errorf("shutdown: %d connections are still open", open))...)
 		}
 	}
-	for _, s := range p.servers {
-		s.Close()
-	}
-	if p.beside.Beside() {
-		time.Sleep(lastWords) // what was let go last is still on its way, and the process that goes on cannot let go of it
+}
+
+func (p *program) closeListeners() error {
+	var errs []error
+	for _, l := range p.listens {
+		if err := l.Close(); err != nil {
+			errs = append(errs, fmt.Errorf("shutdown: %w", err))
+		}
 	}
 	return errors.Join(errs...)
 }
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -246,6 +246,44 @@
 	return f
 }
 
+// Machine is a system.System whose wall clock a test steps and whose calls it makes fail.
+type Machine struct {
+	mu    sync.Mutex
+	step  time.Duration
+	fails map[system.Op]error
+}
+
+// NewMachine returns a sound machine.
+func NewMachine() *Machine { return &Machine{fails: map[system.Op]error{}} }
+
+// Step steps the wall clock.
+func (m *Machine) Step(by time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.step += by
+}
+
+// Fail makes all calls of a kind fail; nil: none.
+func (m *Machine) Fail(op system.Op, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fails[op] = err
+}
+
+// Wall implements system.System.
+func (m *Machine) Wall() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Now().Round(0).Add(m.step)
+}
+
+// Before implements system.System.
+func (m *Machine) Before(op system.Op) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fails[op]
+}
+
 // Net is a part of the loopback range of this process's own, such as "127.240.7.", to which a host's number is added: on
 // 127.0.0.1 the tests of other packages, which run beside these, could take a port first. The rig has the parts below.
 func Net() string {
