Let the soak's oracle see a read request dropped, and show that it catches four mutants

A used connection that breaks without an answer is only excused where nothing of its request had come at a replica (drops_read). Replicas that fail may do so once they have begun, and hang in the middle of an answer.

--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -240,6 +240,7 @@
 			// A close between requests may cross one that the dispatcher has not read: it goes once more on a new
 			// connection, unless the process is known to have ended.
 			if k.used && !fresh && !isTimeout(err) && c.run.procs[d].upSince(asked) {
+				h.Add(history.Event{Kind: history.Dropped, Request: id, Dispatcher: d, Sound: k.Link().Sound(asked.Add(-time.Second))})
 				continue
 			}
 			h.Add(history.Event{Kind: history.Quit, Request: id, Dispatcher: d, Sound: k.Link().Sound(asked.Add(-time.Second)) && c.run.procs[d].upSince(asked)})
--- a/internal/rig/history/history.go
+++ b/internal/rig/history/history.go
@@ -23,6 +23,7 @@
 	Foreign  Kind = "foreign"  // an answer with what no replica made for the request
 	Closed   Kind = "closed"   // the client closed its connection, or its half of it, of its own accord
 	Waited   Kind = "waited"   // a client that stopped in the middle of a request had its error or the close, after Lasted
+	Dropped  Kind = "dropped"  // a used connection broke without an answer, and the client sends the request once more
 	Quit     Kind = "quit"     // the client gave up, or its connection broke without an answer
 	// Replicas.
 	Came  Kind = "came"  // a request for work came, with its work as Weight; Sent is when its sender had sent it
--- a/internal/rig/history/strict.go
+++ b/internal/rig/history/strict.go
@@ -10,6 +10,7 @@
 	AfterClose = "after_close"
 	ToldTime   = "told_time"
 	SecondCopy = "second_copy"
+	DropsRead  = "drops_read"
 	HeldBack   = "held_back"
 	BadClient  = "bad_client"
 )
@@ -29,6 +30,7 @@
 	c.afterClose()
 	c.toldTime()
 	c.copies()
+	c.dropped()
 	c.heldBack()
 	c.badClients()
 	return c.out
@@ -124,6 +126,23 @@
 	}
 }
 
+// dropped: a request that was sent on is not closed without an answer. One that its dispatcher had not read may be.
+func (c *checker) dropped() {
+	came := map[string]time.Duration{}
+	for _, e := range c.events {
+		switch e.Kind {
+		case Came:
+			if _, ok := came[e.Request]; !ok {
+				came[e.Request] = e.At
+			}
+		case Dropped:
+			if at, ok := came[e.Request]; ok && e.Sound && !c.blameless(e.Dispatcher, at, e.At) {
+				c.breach(DropsRead, e, "closed without an answer %v after it was sent on", e.At-at)
+			}
+		}
+	}
+}
+
 // heldBack: at most one stream in 20 has an event that reached its client over 0.3 s after its replica wrote it.
 func (c *checker) heldBack() {
 	streams, late := 0, 0
--- a/internal/rig/history/strict_test.go
+++ b/internal/rig/history/strict_test.go
@@ -45,6 +45,8 @@
 		{"tells more, and was stopped", "", []history.Event{paused, asked, told(900 * ms)}},
 		{"one after the other", "", []history.Event{came(1*ms, "r"), ended(2*ms, "r"), came(3*ms, "s"), ended(4*ms, "s")}},
 		{"a copy beside it", history.SecondCopy, []history.Event{came(1*ms, "r"), came(3*ms, "s"), ended(4*ms, "r"), ended(9*ms, "s")}},
+		{"closed before it was read", "", []history.Event{asked, ev(200*ms, history.Dropped, nil)}},
+		{"closed after it was sent on", history.DropsRead, []history.Event{asked, came(150*ms, "r"), ev(200*ms, history.Dropped, nil)}},
 		{"few events are held back", "", streams(2)},
 		{"many are", history.HeldBack, streams(3)},
 		{"half a request is ended in time", "", []history.Event{ev(1, history.Waited, func(e *history.Event) { e.Lasted = 3 * time.Second })}},
--- a/internal/rig/replica.go
+++ b/internal/rig/replica.go
@@ -409,12 +409,13 @@
 	r.mu.Lock()
 	fails := r.fails
 	r.mu.Unlock()
-	if fails > 0 && r.cluster.draw() < fails {
+	failing := fails > 0 && r.cluster.draw() < fails
+	if failing && (!r.writer || r.cluster.draw() < 0.5) {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	if r.writer {
-		r.write(w, q, s, id, dispatcher)
+		r.write(w, q, s, id, dispatcher, failing)
 	} else {
 		r.read(w, q, s, id, dispatcher)
 	}
@@ -487,8 +488,8 @@
 	}
 }
 
-// write waits for a slot, fetches the state and streams the answer.
-func (r *replica) write(w http.ResponseWriter, q *http.Request, s *spec, id string, dispatcher int) {
+// write waits for a slot, fetches the state and streams the answer. One that fails does so once it has begun.
+func (r *replica) write(w http.ResponseWriter, q *http.Request, s *spec, id string, dispatcher int, fails bool) {
 	r.mu.Lock()
 	if r.waiting+r.active >= writerSlots+writerPlace {
 		r.mu.Unlock()
@@ -526,6 +527,10 @@
 	}
 	r.cluster.history.Add(history.Event{Kind: history.Began, Request: id, Group: s.group, Class: s.class.name,
 		Replica: r.name, Dispatcher: dispatcher})
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	move := float64(state.tokens) / moveRate
 	if state.reader.zone != r.zone {
 		move *= moveFar
@@ -536,6 +541,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
 	for n := 0; n < s.output; n += eventTokens {
+		r.hang(ctx)
 		r.mu.Lock()
 		step := float64(tokenTime) * (1 + float64(r.active)/writerSlots/2) / r.speed()
 		r.mu.Unlock()
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -99,9 +99,8 @@
 		{"internal/core/core.go", "if q.gone() {", "if false {"},
 	},
 	"a resend of what may have run": {
-		{"internal/permit/permit.go", "case repeat && (s.Effect == decide.Unsafe || !s.Alike):", "case false:"},
-		{"internal/permit/permit.go", "case repeat && s.Window <= HeldUp:", "case false:"},
-		{"decide/outcome.go", "if q.ran && r.cfg.Classes[q.Class].Effect == Unsafe {", "if false {"},
+		{"internal/permit/permit.go", "repeat := s.Runs && s.MayHaveRun", "repeat := false && s.MayHaveRun"},
+		{"decide/outcome.go", "		r.giveUp(q, MayHaveRun, 0)\n		return", "		r.emit(Release{q.Request})\n		q.phase = arrived\n		r.advance(q)\n		return"},
 		{"decide/write.go", "if c.Effect == Safe {", "if true {"},
 	},
 	"a send after a drain was told": {
