--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -103,7 +103,7 @@
 const (
 	maxSeconds  = 3600
 	maxRate     = 500
-	maxReplicas = 1024
+	maxReplicas = 3200
 )
 
 // ParseScenario reads a scenario strictly: unknown words and what cannot be are refused.
