Take lists of up to 3 MiB, so that 3,200 replicas fit however they are indented

maxList was 1 MiB, three times 1,024 entries. TestLargestListIndented (1.43 MB, by a call and on a watch) failed before and passes. No other cap under 3,200 was found on the path.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	maxList = 1 << 20 // bytes of a list or a change, three times those of 1,024 entries with indentation
+	maxList = 3 << 20 // bytes of a list or a change, twice those of 3,200 long entries with deep indentation
 
 	// While nothing changes an empty line comes every 2 s; a watch without one for so long is dead. What it
 	// misses counts as told 6 s after it fell silent, and where an agent has it, which lost discovery for a
--- a/internal/state/newest/newest.go
+++ b/internal/state/newest/newest.go
@@ -17,7 +17,7 @@
 const (
 	fileName = "newest.list"
 	magic    = "rampspread newest list 1\n"
-	most     = 4 << 20 // bytes; a list is at most 1 MiB as discovery tells it
+	most     = 4 << 20 // bytes; a list is at most 3 MiB as discovery tells it
 	// MaxAge is how old a list may be: it stands in for a discovery that is silent at the start, not for one that is gone.
 	MaxAge = time.Hour
 )
