--- a/internal/fleet/beliefs.go
+++ b/internal/fleet/beliefs.go
@@ -70,7 +70,7 @@
 	to, ok := b.asker.Step(now, members)
 	b.mu.Unlock()
 	if ok {
-		b.node.send(to, heading(kindAskBeliefs, 0, self.Name, uint64(b.node.start.UnixNano())))
+		b.node.send(to, heading(kindAskBeliefs, 0, self.Name, uint64(b.node.wall.UnixNano())))
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/clock_test.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"rampspread/internal/fleet/view"
+	"rampspread/internal/testkit"
+)
+
+// A process that starts after its machine's wall clock was set back is taken for a later life of its name all the same: the others tell it
+// of the former one's number, and it takes a higher one.
+func TestComesBackAfterTheClockWasSetBack(t *testing.T) {
+	text := file("f", key, 20, 21, 22)
+	one, two := start(t, text, 20, nil), start(t, text, 21, nil)
+	comes(t, one, "n21", view.Alive)
+	comes(t, two, "n20", view.Alive)
+	former := two.info.Incarnation
+	two.stop()
+	<-two.done
+	two.list.Shutdown() // dies without a word
+	comes(t, one, "n21", view.Unreachable)
+	machine := testkit.NewMachine()
+	machine.Step(-time.Hour)
+	again := startOn(t, machine, text, 21, nil)
+	comes(t, one, "n21", view.Alive)
+	comes(t, again, "n20", view.Alive)
+	testkit.Eventually(t, "a higher number than the former life's", func() bool {
+		again.mu.Lock()
+		defer again.mu.Unlock()
+		return again.info.Incarnation > former
+	})
+}
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -115,7 +115,7 @@
 	rng := rand.New(rand.NewPCG(n.self.Seed, 0x1ea5e))
 	d := &duties{node: n, work: work, limits: limits, next: map[lease.Duty]time.Duration{}, heard: map[lease.Duty]time.Duration{},
 		standing: map[lease.Duty]time.Duration{}, out: map[lease.Duty]result{}, names: map[lease.Duty]string{}, budget: resultBytes}
-	d.holder = lease.NewHolder(lease.Claimer{Name: n.self.Name, Incarnation: uint64(n.start.UnixNano())}, c.Voters, limits, rng.Int64N)
+	d.holder = lease.NewHolder(lease.Claimer{Name: n.self.Name, Incarnation: uint64(n.wall.UnixNano())}, c.Voters, limits, rng.Int64N)
 	d.holder.Raise(n.self.Floor)
 	if slices.Contains(c.Voters, n.self.Name) {
 		d.voter = lease.NewVoter(n.self.Name, limits, n.now())
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rampspread/internal/fleet/view"
+	"rampspread/internal/system"
 	"rampspread/internal/testkit"
 )
 
@@ -31,6 +32,11 @@
 
 // start starts the member of that host.
 func start(t *testing.T, text string, host int, failed func(error)) *Node {
+	t.Helper()
+	return startOn(t, system.Real(), text, host, failed)
+}
+
+func startOn(t *testing.T, machine system.System, text string, host int, failed func(error)) *Node {
 	t.Helper()
 	c, err := Parse([]byte(text), fmt.Sprint("n", host%100))
 	if err != nil {
@@ -39,7 +45,7 @@
 	if failed == nil {
 		failed = func(err error) { t.Errorf("member %d: %v", host, err) }
 	}
-	n, err := Start(c, Self{Name: fmt.Sprint("n", host%100), Zone: "wien", Version: "1", Seed: uint64(host),
+	n, err := Start(c, Self{Machine: machine, Name: fmt.Sprint("n", host%100), Zone: "wien", Version: "1", Seed: uint64(host),
 		Facts: func() Facts { return Facts{Settings: 7, List: 41, Serving: true} }}, failed)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -22,6 +22,7 @@
 	"rampspread/internal/fleet/lease"
 	"rampspread/internal/fleet/share"
 	"rampspread/internal/fleet/view"
+	"rampspread/internal/system"
 )
 
 const (
@@ -52,6 +53,7 @@
 
 // Self is what a process tells of itself for good.
 type Self struct {
+	Machine system.System // nil: the real one
 	Name    string
 	Zone    string
 	Version string
@@ -113,10 +115,13 @@
 // address, as when this one is to replace it, the node waits for it without harm to what the process serves. Failed is called once, with
 // ErrTwice, if a member that this process calls upon knows a living one of the same name at another address.
 func Start(cfg *Config, self Self, failed func(error)) (*Node, error) {
-	n := &Node{cfg: cfg, self: self, start: time.Now(), wall: time.Now().Round(0), done: make(chan struct{}), failed: failed,
+	if self.Machine == nil {
+		self.Machine = system.Real()
+	}
+	n := &Node{cfg: cfg, self: self, start: time.Now(), wall: self.Machine.Wall(), done: make(chan struct{}), failed: failed,
 		rng: rand.New(rand.NewPCG(self.Seed, 0xf1ee7))}
 	f := self.Facts()
-	n.info = view.Info{Name: self.Name, Zone: self.Zone, Incarnation: uint64(n.start.UnixMilli()), Started: n.start, Version: self.Version,
+	n.info = view.Info{Name: self.Name, Zone: self.Zone, Incarnation: uint64(n.wall.UnixMilli()), Started: n.wall, Version: self.Version,
 		Settings: f.Settings, List: f.List, Serving: f.Serving}
 	cycle := func(size int) time.Duration { return beatEvery * time.Duration(max(1, (size-1+fanout-1)/fanout)) }
 	n.table = view.New(n.info, cfg.names(), view.Limits{Sign: cycle, SuspectAfter: 3, Gap: gap}, n.now())
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -76,7 +76,7 @@
 
 func newShares(n *Node, to Shared) *shares {
 	s := &shares{node: n, to: to, limits: n.cfg.limits()}
-	s.borrower = share.NewBorrower(share.Life{Name: n.self.Name, Incarnation: uint64(n.start.UnixNano())}, n.cfg.Voters, s.limits)
+	s.borrower = share.NewBorrower(share.Life{Name: n.self.Name, Incarnation: uint64(n.wall.UnixNano())}, n.cfg.Voters, s.limits)
 	if slices.Contains(n.cfg.Voters, n.self.Name) {
 		s.voter = share.NewVoter(n.self.Name, s.limits, n.now())
 	}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -191,7 +191,7 @@
 	if p.lists != nil {
 		ends = p.lists
 	}
-	self := fleet.Self{Name: cfg.Name, Zone: zone, Version: version, Seed: seed, Work: p.tasks, Shared: p.core, Claims: take, Ends: ends, Stands: stands{p},
+	self := fleet.Self{Machine: p.machine, Name: cfg.Name, Zone: zone, Version: version, Seed: seed, Work: p.tasks, Shared: p.core, Claims: take, Ends: ends, Stands: stands{p},
 		Knows: peers{p, file.Fleet}, Facts: func() fleet.Facts {
 			return fleet.Facts{Settings: p.settings.Load(), List: p.watch.Version(), Serving: p.ready.Load() && !p.state.Stopping.Load()}
 		}}
