--- /dev/null
+++ b/internal/program/faults_test.go
@@ -0,0 +1,42 @@
+package program
+
+import (
+	"net"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"rampspread/internal/system"
+	"rampspread/internal/testkit"
+)
+
+// A disk that hangs as the process is told to end holds up nothing of its end: its listener closes in time, and what it would leave for
+// its next life is given up.
+func TestHungDiskHoldsUpNoDrain(t *testing.T) {
+	faults := filepath.Join(t.TempDir(), "faults.json")
+	t.Setenv("RAMPSPREAD_TEST_FAULTS", faults)
+	reader, writer := testkit.NewReplica(t, testkit.Read), testkit.NewReplica(t, testkit.Write("alpha"))
+	list := listText(reader.Addr, writer.Addr)
+	discovery, _ := newAgent(t, list)
+	listen := freeAddr(t)
+	program, out := start(t, "", file(t, "config.json", configText(listen, discovery, list)), "-handover", t.TempDir())
+	ready(t, listen)
+	hangs := system.Faults{Fails: map[system.Op]system.Failure{system.Write: {Every: 1, DelayMS: 5000}}}
+	if err := hangs.Set(faults); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // for the file to be read
+	program.Process.Signal(syscall.SIGTERM)
+	from := time.Now()
+	testkit.Eventually(t, "the listener's close", func() bool {
+		c, err := net.Dial("tcp", listen)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	if took := time.Since(from); took > lameDuck+lastCall+time.Second {
+		t.Errorf("the listener closed %v after SIGTERM: %s", took, out.String())
+	}
+}
--- a/internal/system/faulty.go
+++ b/internal/system/faulty.go
@@ -22,6 +22,8 @@
 type Failure struct {
 	Errno int `json:"errno"`
 	Every int `json:"every"` // each so many-th call fails; 1: all
+	// DelayMS is how long such a call is held up, in ms. With no errno it goes on then.
+	DelayMS int `json:"delay_ms"`
 }
 
 // refreshEvery is how old what was read of the file may be.
@@ -82,16 +84,26 @@
 
 // Before implements System.
 func (f *Faulty) Before(op Op) error {
+	fails, ok := f.due(op)
+	if !ok {
+		return nil
+	}
+	time.Sleep(time.Duration(fails.DelayMS) * time.Millisecond)
+	if fails.Errno == 0 {
+		return nil
+	}
+	return os.NewSyscallError(string(op), syscall.Errno(fails.Errno))
+}
+
+// due counts a call and tells whether it fails, and how.
+func (f *Faulty) due(op Op) (Failure, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
 	fails, ok := f.faults.Fails[op]
 	if !ok || fails.Every < 1 {
-		return nil
+		return fails, false
 	}
 	f.calls[op]++
-	if f.calls[op]%fails.Every != 0 {
-		return nil
-	}
-	return os.NewSyscallError(string(op), syscall.Errno(fails.Errno))
+	return fails, f.calls[op]%fails.Every == 0
 }
