Drain beside a disk that hangs, and refuse who comes while all connections have open requests

serve leaves what it has learnt beside the drain, and waits 1 s at most for that and for its own goroutines at the end: the listener closed 5.9 s after SIGTERM with a disk that hung for 5 s, and closes in time now.

A connection for which there is no room is answered 503 after 20 ms where every other has an open request (shed counts it); elsewhere one gives way as before.

TestHungDiskHoldsUpNoDrain and TestFullOfOpenRequestsRefuses failed before and pass; tests of internal/clients and the drain's of internal/program passed.

--- a/internal/clients/guard.go
+++ b/internal/clients/guard.go
@@ -29,8 +29,14 @@
 	// One that has asked before gives way after this long.
 	idleFor  = 2 * time.Second
 	roomWait = 5 * time.Millisecond // between looks for one to give way
+	// Where all have open requests, one that comes waits so long for one to end, and is refused then.
+	roomPatience = 20 * time.Millisecond
+	refuseWait   = 100 * time.Millisecond // for the few bytes of a refusal, which a new connection takes at once
 )
 
+// refusal is the answer to whoever comes while there is no room.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // State is what the fronts of a program share of its course.
 type State struct {
 	// Stopping is set on SIGTERM: each answer is the last on its connection. GET /healthz still says yes,
@@ -199,14 +205,48 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err // http.Server tells errors apart by their type: the listener is closed, or broken
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err // http.Server tells errors apart by their type: the listener is closed, or broken
+		}
+		client := newClientConn(c, l.guard)
+		if l.hasRoom() {
+			return client, nil
+		}
+		l.guard.refuse(client)
 	}
-	for !l.guard.makeRoom(l.most) {
+}
+
+// hasRoom waits until one more connection has room; false: all have open requests, and none will end at once.
+func (l *listener) hasRoom() bool {
+	for waited := time.Duration(0); !l.guard.makeRoom(l.most); waited += roomWait {
+		if waited >= roomPatience && l.guard.allOpen() {
+			return false
+		}
 		time.Sleep(roomWait)
 	}
-	return newClientConn(c, l.guard), nil
+	return true
+}
+
+// allOpen tells whether each connection has an open request.
+func (g *Guard) allOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, k := range g.conns {
+		if !k.open {
+			return false
+		}
+	}
+	return true
+}
+
+// refuse answers a connection that has no room: what comes on it is not read, and nothing of it has run.
+func (g *Guard) refuse(c *clientConn) {
+	g.shed.Add(1)
+	c.SetWriteDeadline(time.Now().Add(refuseWait))
+	io.WriteString(c, refusal)
+	c.Close()
 }
 
 // makeRoom tells whether one more connection has room, once the one that is best missed is closed: the one
@@ -326,7 +366,8 @@
 // Bad is how many requests had heads that were cut short or malformed, or bodies of no use.
 func (g *Guard) Bad() int64 { return g.bad.Load() }
 
-// Shed is how many requests were refused since too many bodies were in memory, or since they came too late before the process's end.
+// Shed is how many requests were refused since too many bodies were in memory, there was no room for their connection, or they came too
+// late before the process's end.
 func (g *Guard) Shed() int64 { return g.shed.Load() }
 
 // Closed is how many connections were closed to make room.
--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -24,8 +24,21 @@
 	// lastWords is the time for what is given up to be answered, and what is held for it to be let go: a close is told after 10 ms, a
 	// release may have to try a second replica after 30 ms, and what a read left shows within 120 ms.
 	lastWords = 300 * time.Millisecond
+	// endMost is for how long the process's own goroutines are waited for at its end: one may wait for a disk that hangs.
+	endMost = time.Second
 )
 
+// waitAtMost waits for what is over once done is closed, but no longer than most.
+func waitAtMost(done <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		slog.Warn("end_not_awaited", "after", most)
+	}
+}
+
 // busy tells whether a request is being answered.
 func (p *program) busy() bool {
 	return slices.ContainsFunc(p.guards, (*clients.Guard).Busy)
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -146,7 +146,11 @@
 	p.front.Beside(p.beside)
 	running, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
-	defer tasks.Wait()
+	defer func() {
+		ended := make(chan struct{})
+		go func() { tasks.Wait(); close(ended) }()
+		waitAtMost(ended, endMost)
+	}()
 	defer p.pool.Close()
 	defer stop()
 	tasks.Go(func() { p.core.Run(running) })
@@ -253,10 +257,15 @@
 			done = true
 		}
 	}
-	if o.handover != "" {
-		p.leave(running, at)
-	}
+	left := make(chan struct{})
+	go func() { // beside the drain: a disk that hangs holds nothing of it up
+		defer close(left)
+		if o.handover != "" {
+			p.leave(running, at)
+		}
+	}()
 	err = p.drain(cfg.Settings.Grace())
+	waitAtMost(left, endMost)
 	fmt.Fprintln(out, p.counters(running))
 	return err
 }
