Name the packages that were touched by the field's words, and spoil answers in the soak

state/whole, beside and newest become atomicfile, inflight and lastlist; fleet/keep, work, ended and donate become subsetter, tasks, removals and warmup. Files on the disk, log events and counters keep their names.

fleetrig soak has two more kinds of fault, spoilt answers (noise, half a head, an answer with another behind it) and a disk that hangs, and -quiet for trouble that begins late.

--- a/internal/chat/chat.go
+++ b/internal/chat/chat.go
@@ -24,7 +24,7 @@
 	"rampspread/internal/clients"
 	"rampspread/internal/core"
 	"rampspread/internal/fleet/claim"
-	"rampspread/internal/state/beside"
+	"rampspread/internal/state/inflight"
 	"rampspread/internal/wire"
 )
 
@@ -47,8 +47,8 @@
 	classes  []decide.Class
 	config   *Config
 	filings  *filings
-	ledger   Ledger        // nil: this process's table alone
-	beside   *beside.Table // nil: no other process of this name
+	ledger   Ledger          // nil: this process's table alone
+	beside   *inflight.Table // nil: no other process of this name
 	bad      atomic.Int64
 	skipped  atomic.Int64
 }
--- a/internal/chat/ledger.go
+++ b/internal/chat/ledger.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"rampspread/internal/fleet/claim"
-	"rampspread/internal/state/beside"
+	"rampspread/internal/state/inflight"
 )
 
 // Ledger says who may run a filing, over all dispatchers and over this one's restarts. Its methods may be called from any goroutine;
@@ -27,19 +27,19 @@
 func (f *Front) UseLedger(l Ledger) { f.ledger = l }
 
 // Beside shares what filings were taken with other processes of this name on this machine; before the front serves.
-func (f *Front) Beside(t *beside.Table) { f.beside = t }
+func (f *Front) Beside(t *inflight.Table) { f.beside = t }
 
 // granted asks the other processes of this name, and the ledger, about a key that is new to this process's table. Where it is not
 // fresh, the table learns what they know, or forgets the key.
 func (f *Front) granted(j *job, key string) (verdict, *completion, claim.Try) {
-	switch f.beside.Take(beside.Filing, key) {
-	case beside.Open:
+	switch f.beside.Take(inflight.Filing, key) {
+	case inflight.Open:
 		f.filings.release(key)
 		return inProgress, nil, claim.Try{}
-	case beside.MayRan:
+	case inflight.MayRan:
 		f.filings.settle(key, nil)
 		return mayHaveRun, nil, claim.Try{}
-	case beside.Unknown:
+	case inflight.Unknown:
 		f.filings.release(key)
 		return unreachable, nil, claim.Try{}
 	}
@@ -52,7 +52,7 @@
 	case out == claim.Granted:
 		return fresh, nil, try
 	}
-	f.beside.Drop(beside.Filing, key)
+	f.beside.Drop(inflight.Filing, key)
 	switch {
 	case out == claim.Refused && why == claim.HeldKnown:
 		known := new(completion)
@@ -79,7 +79,7 @@
 func (f *Front) note(key string, try claim.Try, answer *completion, ran bool) {
 	if !ran {
 		f.filings.release(key)
-		f.beside.Drop(beside.Filing, key)
+		f.beside.Drop(inflight.Filing, key)
 		if f.ledger != nil {
 			f.ledger.Withdraw(key, try)
 		}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -18,7 +18,7 @@
 	"rampspread/decide"
 	"rampspread/internal/core"
 	"rampspread/internal/permit"
-	"rampspread/internal/state/beside"
+	"rampspread/internal/state/inflight"
 	"rampspread/internal/wire"
 )
 
@@ -37,7 +37,7 @@
 	settings *wire.Settings
 	bad      atomic.Int64
 	open     sync.Map                // ids of open requests
-	beside   *beside.Table           // the same at other processes of this name; nil: there are none
+	beside   *inflight.Table         // the same at other processes of this name; nil: there are none
 	classes  atomic.Pointer[classes] // what a client may name
 }
 
@@ -55,7 +55,7 @@
 }
 
 // Beside shares the ids of open requests with other processes of this name; before the front serves.
-func (f *Front) Beside(t *beside.Table) { f.beside = t }
+func (f *Front) Beside(t *inflight.Table) { f.beside = t }
 
 // SetClasses changes the classes that clients may name, after a retune; open requests keep theirs.
 func (f *Front) SetClasses(now wire.Classes) {
@@ -88,11 +88,11 @@
 		return
 	}
 	defer f.open.Delete(req.Call.ID)
-	v := f.beside.Take(beside.Request, req.Call.ID)
+	v := f.beside.Take(inflight.Request, req.Call.ID)
 	switch {
-	case v == beside.Free:
-		defer f.beside.Drop(beside.Request, req.Call.ID)
-	case v != beside.Unknown:
+	case v == inflight.Free:
+		defer f.beside.Drop(inflight.Request, req.Call.ID)
+	case v != inflight.Unknown:
 		f.bad.Add(1)
 		http.Error(w, "X-Trace-Id belongs to an open request", http.StatusConflict)
 		return
--- a/internal/fleet/beliefs.go
+++ b/internal/fleet/beliefs.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"rampspread/internal/fleet/donate"
+	"rampspread/internal/fleet/warmup"
 )
 
 // Knows is what a process has learnt, for others that start, and takes what they tell it.
@@ -34,8 +34,8 @@
 	knows Knows
 
 	mu    sync.Mutex
-	asker *donate.Asker
-	donor donate.Donor
+	asker *warmup.Asker
+	donor warmup.Donor
 
 	taken, given, busy, bad atomic.Int64
 }
@@ -50,7 +50,7 @@
 
 func newBeliefs(n *Node, k Knows) *beliefs {
 	rng := rand.New(rand.NewPCG(n.self.Seed, 0xbe11ef))
-	return &beliefs{node: n, knows: k, asker: donate.NewAsker(donate.Usual, n.now(), rng.Int64N)}
+	return &beliefs{node: n, knows: k, asker: warmup.NewAsker(warmup.Usual, n.now(), rng.Int64N)}
 }
 
 // step asks somebody, if it is time.
@@ -61,10 +61,10 @@
 		return
 	}
 	self := b.node.self
-	var members []donate.Member
+	var members []warmup.Member
 	for _, m := range b.node.View().Counting() {
 		if m.Name != self.Name {
-			members = append(members, donate.Member{Name: m.Name, Older: m.Started.Before(b.node.wall.Add(-olderBy)), Near: m.Zone == self.Zone})
+			members = append(members, warmup.Member{Name: m.Name, Older: m.Started.Before(b.node.wall.Add(-olderBy)), Near: m.Zone == self.Zone})
 		}
 	}
 	to, ok := b.asker.Step(now, members)
@@ -78,7 +78,7 @@
 func (b *beliefs) answer(from string) {
 	now := b.node.now()
 	b.mu.Lock()
-	gives := (now > knowsAfter || b.taken.Load() > 0) && b.donor.May(now, donate.Usual)
+	gives := (now > knowsAfter || b.taken.Load() > 0) && b.donor.May(now, warmup.Usual)
 	b.mu.Unlock()
 	if gives {
 		ctx, cancel := context.WithTimeout(context.Background(), tellWait)
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"rampspread/internal/fleet/ended"
 	"rampspread/internal/fleet/lease"
+	"rampspread/internal/fleet/removals"
 	"rampspread/internal/fleet/share"
 	"rampspread/internal/testkit"
 )
@@ -220,11 +220,11 @@
 		f.Errorf("%d results came, the first as %+v", len(got), got[0])
 	}
 	claim := encodeClaim(share.Claim{From: share.Life{Name: "n1", Incarnation: 2}, Seq: 3, Demand: 4, Acts: map[string]uint64{"n1": 2}}, []string{"n1"})
-	list := encodeList("n3", ended.Digest{Version: 1 << 60, Ready: []uint64{1, 1 << 63}, Draining: []uint64{7}})
+	list := encodeList("n3", removals.Digest{Version: 1 << 60, Ready: []uint64{1, 1 << 63}, Draining: []uint64{7}})
 	if m, err := decodeMessage(list[1:], 0); err != nil || m.from != "n3" || m.seq != 1<<60 || !slices.Equal(m.ready, []uint64{1, 1 << 63}) || !slices.Equal(m.draining, []uint64{7}) {
 		f.Errorf("%+v, %v", m, err)
 	}
-	if _, err := decodeMessage(encodeList("n3", ended.Digest{Version: 1, Ready: make([]uint64, ended.MaxReplicas+1)})[1:], 0); err == nil {
+	if _, err := decodeMessage(encodeList("n3", removals.Digest{Version: 1, Ready: make([]uint64, removals.MaxReplicas+1)})[1:], 0); err == nil {
 		f.Error("a list without bound was read")
 	}
 	for _, s := range testkit.Broken(8, string(packets[0][1:]), string(reply[1:]), seeds[0], string(claim[1:]), string(list[1:])) {
--- a/internal/fleet/ends.go
+++ b/internal/fleet/ends.go
@@ -4,15 +4,15 @@
 	"sync"
 	"time"
 
-	"rampspread/internal/fleet/ended"
 	"rampspread/internal/fleet/lease"
+	"rampspread/internal/fleet/removals"
 )
 
 // Ends holds this process back from what others' newer lists have ended, and tells them of its own.
 type Ends interface {
 	Version() uint64
-	Digest() ended.Digest
-	Told(from string, d ended.Digest)
+	Digest() removals.Digest
+	Told(from string, d removals.Digest)
 	Tick()
 }
 
--- a/internal/fleet/lists/lists.go
+++ b/internal/fleet/lists/lists.go
@@ -9,7 +9,7 @@
 
 	"rampspread/decide"
 	"rampspread/internal/core"
-	"rampspread/internal/fleet/ended"
+	"rampspread/internal/fleet/removals"
 )
 
 // Guard takes a dispatcher's list and what others tell of theirs. It is safe for use by several goroutines.
@@ -21,7 +21,7 @@
 	// mu is held while a list is handed on, so that an older one never comes behind what was told since.
 	mu    sync.Mutex
 	start time.Time
-	table *ended.Table
+	table *removals.Table
 	held  map[string]core.Listing
 	told  int64
 }
@@ -36,7 +36,7 @@
 
 // New returns a guard before publish, which must not block. Version is that of the list handed to Roster.
 func New(publish func(bool, []core.Listing), version func() uint64, now func() time.Time) *Guard {
-	return &Guard{publish: publish, version: version, now: now, start: now(), table: ended.New(ended.Usual), held: map[string]core.Listing{}}
+	return &Guard{publish: publish, version: version, now: now, start: now(), table: removals.New(removals.Usual), held: map[string]core.Listing{}}
 }
 
 // Roster takes discovery's list, or changes to it, and hands on what is to be acted on.
@@ -44,10 +44,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	core.Apply(g.held, full, entries)
-	list := make([]ended.Entry, len(entries))
+	list := make([]removals.Entry, len(entries))
 	named := make(map[string]bool, len(entries))
 	for i, e := range entries {
-		list[i], named[e.Name] = ended.Entry{Name: e.Name, State: e.State}, true
+		list[i], named[e.Name] = removals.Entry{Name: e.Name, State: e.State}, true
 	}
 	changed := g.table.Listed(g.now().Sub(g.start), g.version(), full, list)
 	out := make([]core.Listing, 0, len(entries))
@@ -75,7 +75,7 @@
 }
 
 // Told takes what another member tells of its list.
-func (g *Guard) Told(from string, d ended.Digest) {
+func (g *Guard) Told(from string, d removals.Digest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if d.Version > g.table.Version() {
@@ -109,7 +109,7 @@
 }
 
 // Digest is what to tell others of the list that this member was told by discovery.
-func (g *Guard) Digest() ended.Digest {
+func (g *Guard) Digest() removals.Digest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.table.Digest()
--- a/internal/fleet/lists/lists_test.go
+++ b/internal/fleet/lists/lists_test.go
@@ -7,7 +7,7 @@
 
 	"rampspread/decide"
 	"rampspread/internal/core"
-	"rampspread/internal/fleet/ended"
+	"rampspread/internal/fleet/removals"
 )
 
 // What is handed on is the own list without what others' newer ones have ended, at each step; an address only ever comes from
@@ -48,13 +48,13 @@
 	}
 	hashes := func(names ...string) (out []uint64) {
 		for _, n := range names {
-			out = append(out, ended.Hash(n))
+			out = append(out, removals.Hash(n))
 		}
 		return out
 	}
 	g.Roster(true, list("a", "b", "c", "d"))
 	want("its list", "a", "b", "c", "d")
-	g.Told("n1", ended.Digest{Version: 6, Ready: hashes("a", "c", "e"), Draining: hashes("b")})
+	g.Told("n1", removals.Digest{Version: 6, Ready: hashes("a", "c", "e"), Draining: hashes("b")})
 	want("another's", "a", "c")
 	if acts["b"].State != decide.Draining {
 		t.Errorf("%+v", acts)
@@ -67,9 +67,9 @@
 	version = 7
 	g.Roster(false, list("b"))
 	want("a newer one than the other's", "a", "b", "c", "d", "e")
-	g.Told("n1", ended.Digest{Version: 9, Ready: hashes("b", "c", "d", "e")})
+	g.Told("n1", removals.Digest{Version: 9, Ready: hashes("b", "c", "d", "e")})
 	want("another's again", "b", "c", "d", "e")
-	now = now.Add(ended.Usual.Keep + time.Second)
+	now = now.Add(removals.Usual.Keep + time.Second)
 	g.Tick()
 	want("after long silence", "a", "b", "c", "d", "e")
 	if s := g.Status(); s.Told != 2 || s.Held != 0 || s.List != 7 || g.Version() != 7 || len(g.Digest().Ready) != 5 {
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"rampspread/internal/fields"
-	"rampspread/internal/fleet/ended"
 	"rampspread/internal/fleet/lease"
+	"rampspread/internal/fleet/removals"
 	"rampspread/internal/fleet/share"
 	"rampspread/internal/fleet/view"
 )
@@ -253,7 +253,7 @@
 }
 
 // encodeList makes a message of a member's list.
-func encodeList(from string, d ended.Digest) []byte {
+func encodeList(from string, d removals.Digest) []byte {
 	b := heading(kindList, d.Version, from, 0)
 	for _, part := range []struct {
 		field  protowire.Number
@@ -372,7 +372,7 @@
 			}
 			m.beliefs = slices.Clone(text)
 		case fieldReady, fieldDraining:
-			if len(text)%8 != 0 || len(text) > 8*ended.MaxReplicas {
+			if len(text)%8 != 0 || len(text) > 8*removals.MaxReplicas {
 				return m, errFormat
 			}
 			hashes := make([]uint64, 0, len(text)/8)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -18,8 +18,8 @@
 
 	"github.com/hashicorp/memberlist"
 
-	"rampspread/internal/fleet/ended"
 	"rampspread/internal/fleet/lease"
+	"rampspread/internal/fleet/removals"
 	"rampspread/internal/fleet/share"
 	"rampspread/internal/fleet/view"
 	"rampspread/internal/system"
@@ -524,7 +524,7 @@
 	case kind == kindBeliefs && n.beliefs != nil:
 		go n.beliefs.take(m.from, m.beliefs)
 	case kind == kindList && n.ends != nil:
-		n.ends.lists.Told(m.from, ended.Digest{Version: m.seq, Ready: m.ready, Draining: m.draining})
+		n.ends.lists.Told(m.from, removals.Digest{Version: m.seq, Ready: m.ready, Draining: m.draining})
 	case kind == kindLoan && n.shares != nil:
 		n.shares.take(share.Loan{To: share.Life{Name: n.self.Name, Incarnation: m.life}, Voter: m.from, Seq: m.seq, Part: m.part})
 	}
--- a/internal/fleet/ended/ended.go
+++ b/internal/fleet/removals/removals.go
@@ -1,10 +1,10 @@
-// Package ended keeps what a fleet's members tell each other of the list that they act on, so that a member whose own is older sends
+// Package removals keeps what a fleet's members tell each other of the list that they act on, so that a member whose own is older sends
 // nothing to a replica that theirs has ended. It does no I/O and has no clock.
 //
 // What a replica is, and where, a member takes from discovery alone; from others it takes only which of its replicas are gone or drain
 // by a newer version. So others can hold a member back from a replica, and never make it send anywhere. A whole list's names are told,
 // as hashes, and not what ended since some version: one that has just started knows the list and nothing of what was before.
-package ended
+package removals
 
 import (
 	"slices"
--- a/internal/fleet/ended/ended_test.go
+++ b/internal/fleet/removals/removals_test.go
@@ -1,4 +1,4 @@
-package ended
+package removals
 
 import (
 	"fmt"
--- a/internal/fleet/keep/keep.go
+++ b/internal/fleet/subsetter/subsetter.go
@@ -1,6 +1,6 @@
-// Package keep keeps a dispatcher to its subset of the replicas: it follows discovery's list and who is in the fleet, and
+// Package subsetter keeps a dispatcher to its subset of the replicas: it follows discovery's list and who is in the fleet, and
 // hands the core what package subset makes of them.
-package keep
+package subsetter
 
 import (
 	"context"
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/subsetter/subsetter_test.go
@@ -1,4 +1,4 @@
-package keep
+package subsetter
 
 import (
 	"fmt"
--- a/internal/fleet/work/work.go
+++ b/internal/fleet/tasks/tasks.go
@@ -1,6 +1,6 @@
-// Package work is what a fleet does in turn: one member asks a replica for its load on behalf of all, and one looks at
+// Package tasks is what a fleet does in turn: one member asks a replica for its load on behalf of all, and one looks at
 // discovery's list. What they find goes to the core as evidence, and brings a dispatcher that was left behind up to date.
-package work
+package tasks
 
 import (
 	"context"
--- a/internal/fleet/work/work_test.go
+++ b/internal/fleet/tasks/tasks_test.go
@@ -1,4 +1,4 @@
-package work
+package tasks
 
 import (
 	"context"
--- a/internal/fleet/donate/donate.go
+++ b/internal/fleet/warmup/warmup.go
@@ -1,7 +1,7 @@
-// Package donate decides whom a process that has just started asks for what they have learnt, when, and how many a process that knows
+// Package warmup decides whom a process that has just started asks for what they have learnt, when, and how many a process that knows
 // gives to. It does no I/O and has no clock. With most of a fleet new, the few that know are asked at drawn times and give to a bounded
 // number; who has learnt something gives in its turn.
-package donate
+package warmup
 
 import (
 	"slices"
--- a/internal/fleet/donate/donate_test.go
+++ b/internal/fleet/warmup/warmup_test.go
@@ -1,4 +1,4 @@
-package donate
+package warmup
 
 import (
 	"fmt"
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -15,9 +15,9 @@
 	"rampspread/decide"
 	"rampspread/internal/cli"
 	"rampspread/internal/fleet"
-	"rampspread/internal/fleet/keep"
 	"rampspread/internal/fleet/lists"
-	"rampspread/internal/fleet/work"
+	"rampspread/internal/fleet/subsetter"
+	"rampspread/internal/fleet/tasks"
 	"rampspread/internal/ops"
 	"rampspread/internal/wire"
 )
@@ -34,12 +34,12 @@
 }
 
 // share sets up what the fleet does in turn, before the first list comes.
-func (p *program) share(cfg *wire.Config) *work.Tasks {
-	var prober work.Prober
+func (p *program) share(cfg *wire.Config) *tasks.Tasks {
+	var prober tasks.Prober
 	if cfg.Settings.Limits.Probing {
 		prober = p.pool
 	}
-	return work.New(prober, listOf{p}, p.core.Heard, time.Now)
+	return tasks.New(prober, listOf{p}, p.core.Heard, time.Now)
 }
 
 // listOf is the program's watcher, which comes to be after its tasks.
@@ -94,7 +94,7 @@
 }
 
 // keepTo sets up what keeps the core to its subset of the replicas; nil where the fleet's file asks for none.
-func (p *program) keepTo(file *fleet.Config, cfg *wire.Config, router decide.Config) *keep.Keeper {
+func (p *program) keepTo(file *fleet.Config, cfg *wire.Config, router decide.Config) *subsetter.Keeper {
 	if file == nil || file.SubsetReaders == 0 {
 		return nil
 	}
@@ -102,7 +102,7 @@
 	for _, k := range router.Kinds {
 		roles = append(roles, k.Role)
 	}
-	return keep.New(file.Subset(), cfg.Name, cfg.Settings.Zone, roles, func() (f keep.Fleet) {
+	return subsetter.New(file.Subset(), cfg.Name, cfg.Settings.Zone, roles, func() (f subsetter.Fleet) {
 		n := p.member.Load()
 		if n == nil {
 			return f
@@ -375,7 +375,7 @@
 	return nil
 }
 
-func printSubset(out io.Writer, s keep.Status) error {
+func printSubset(out io.Writer, s subsetter.Status) error {
 	kept := "all"
 	if len(s.Kept) > 0 {
 		kept = fmt.Sprintf("%d: %s", len(s.Kept), strings.Join(s.Kept, " "))
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -7,13 +7,13 @@
 
 	"rampspread/decide"
 	"rampspread/internal/chat"
-	"rampspread/internal/state/beside"
 	"rampspread/internal/state/handover"
+	"rampspread/internal/state/inflight"
 	"rampspread/internal/system"
 )
 
 // shareOpen shares what is in hand with other processes of this name on this machine, where they have a folder in common.
-func shareOpen(machine system.System, dir, name string, chat *chat.Config) *beside.Table {
+func shareOpen(machine system.System, dir, name string, chat *chat.Config) *inflight.Table {
 	if dir == "" {
 		return nil
 	}
@@ -21,7 +21,7 @@
 	if chat != nil {
 		keep = chat.Keep()
 	}
-	t, err := beside.Start(machine, dir, name, keep)
+	t, err := inflight.Start(machine, dir, name, keep)
 	if err != nil {
 		slog.Warn("beside_refused", "err", err)
 	}
--- a/internal/program/newest.go
+++ b/internal/program/newest.go
@@ -9,17 +9,17 @@
 
 	"rampspread/internal/core"
 	"rampspread/internal/discovery"
-	"rampspread/internal/state/newest"
-	"rampspread/internal/state/whole"
+	"rampspread/internal/state/atomicfile"
+	"rampspread/internal/state/lastlist"
 	"rampspread/internal/system"
 )
 
 // keepList saves the list that this process acts on, for its next life; nil without a folder for state.
-func (p *program) keepList(files checked) *whole.Keeper {
+func (p *program) keepList(files checked) *atomicfile.Keeper {
 	if files.state == "" {
 		return nil
 	}
-	return whole.NewKeeper("list", func() error {
+	return atomicfile.NewKeeper("list", func() error {
 		held, err := p.watch.Held()
 		if err != nil {
 			return err
@@ -28,14 +28,14 @@
 		if err != nil {
 			return fmt.Errorf("newest: %w", err)
 		}
-		return newest.Save(p.machine, files.state, newest.List{Owner: p.listOwner(files), At: system.Now(p.machine), Version: held.Generation, Entries: entries})
+		return lastlist.Save(p.machine, files.state, lastlist.List{Owner: p.listOwner(files), At: system.Now(p.machine), Version: held.Generation, Entries: entries})
 	})
 }
 
 // listOwner says whose list a process stores, and of which discovery: it may have moved.
-func (p *program) listOwner(files checked) newest.Owner {
+func (p *program) listOwner(files checked) lastlist.Owner {
 	who := files.identity()
-	return newest.Owner{Fleet: who.Fleet, Name: who.Name, Discovery: p.watch.Address()}
+	return lastlist.Owner{Fleet: who.Fleet, Name: who.Name, Discovery: p.watch.Address()}
 }
 
 // firstList is the list to begin with: that of the configuration, or a newer one that an earlier life has stored. One that is
@@ -49,7 +49,7 @@
 	if files.state == "" {
 		return l, nil
 	}
-	kept, err := newest.Find(files.state, p.listOwner(files), system.Now(p.machine))
+	kept, err := lastlist.Find(files.state, p.listOwner(files), system.Now(p.machine))
 	stored := discovery.List{Generation: kept.Version, Reset: true}
 	if err == nil {
 		err = json.Unmarshal(kept.Entries, &stored.Instances)
@@ -66,6 +66,6 @@
 }
 
 // andKeep tells a keeper of each list that is handed on.
-func andKeep(k *whole.Keeper) func(bool, []core.Listing) {
+func andKeep(k *atomicfile.Keeper) func(bool, []core.Listing) {
 	return func(bool, []core.Listing) { k.Changed() }
 }
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -24,14 +24,14 @@
 	"rampspread/internal/discovery"
 	"rampspread/internal/fleet"
 	"rampspread/internal/fleet/claims"
-	"rampspread/internal/fleet/keep"
 	"rampspread/internal/fleet/lists"
-	"rampspread/internal/fleet/work"
+	"rampspread/internal/fleet/subsetter"
+	"rampspread/internal/fleet/tasks"
 	"rampspread/internal/ops"
 	"rampspread/internal/permit"
 	"rampspread/internal/servers"
-	"rampspread/internal/state/beside"
 	"rampspread/internal/state/handover"
+	"rampspread/internal/state/inflight"
 	"rampspread/internal/state/terms"
 	"rampspread/internal/system"
 	"rampspread/internal/wire"
@@ -58,10 +58,10 @@
 	listens  []net.Listener
 	fleet    *fleet.Node                // nil: alone
 	member   atomic.Pointer[fleet.Node] // the same, for goroutines that began before it
-	tasks    *work.Tasks                // of the fleet; nil: alone
-	beside   *beside.Table              // nil: no other process of this name is looked for
+	tasks    *tasks.Tasks               // of the fleet; nil: alone
+	beside   *inflight.Table            // nil: no other process of this name is looked for
 	claims   *claims.Service            // nil: the chat front's own table is all
-	keeper   *keep.Keeper               // nil: it keeps to all replicas
+	keeper   *subsetter.Keeper          // nil: it keeps to all replicas
 	lists    *lists.Guard               // nil: its own list is all
 	numbers  *terms.Numbers             // of the fleet's leases; nil: none outlives the process
 	shutOut  atomic.Bool                // drained for being behind
--- a/internal/rig/replica.go
+++ b/internal/rig/replica.go
@@ -60,6 +60,7 @@
 	cold    *history.Budget // nil: warm since long
 	slow    float64
 	hung    chan struct{} // closed once it answers again; nil: it does
+	spoils  float64       // the part of its calls that it answers with what makes no sense
 	fails   float64       // the part of its calls that it answers with 500
 	free    time.Time     // a reader's queue is worked off by then
 	waiting int           // requests waiting, and at a reader being read
@@ -406,6 +407,9 @@
 		return
 	}
 	r.hang(q.Context())
+	if r.spoil(w, q) {
+		return
+	}
 	r.mu.Lock()
 	fails := r.fails
 	r.mu.Unlock()
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -488,7 +488,9 @@
 		r.procs[t].changeFaults(func(s *system.Faults) { s.WallStepMS += int64(f.StepS * 1000) })
 		f.after(ctx, func() { r.procs[t].changeFaults(func(s *system.Faults) { s.WallStepMS -= int64(f.StepS * 1000) }) })
 	case "calls-fail":
-		r.procs[t].changeFaults(func(s *system.Faults) { s.Fails[f.Call] = system.Failure{Errno: f.Errno, Every: max(f.Calls, 1)} })
+		r.procs[t].changeFaults(func(s *system.Faults) {
+			s.Fails[f.Call] = system.Failure{Errno: f.Errno, Every: max(f.Calls, 1), DelayMS: int(f.DelayMS)}
+		})
 		f.after(ctx, func() { r.procs[t].changeFaults(func(s *system.Faults) { delete(s.Fails, f.Call) }) })
 	case "clients-half", "clients-pipeline", "clients-idle":
 		r.misbehave(ctx, f, t)
@@ -547,6 +549,9 @@
 	case "replica-fail":
 		r.cluster.replicas[t].setFails(f.Loss)
 		f.after(ctx, func() { r.cluster.replicas[t].setFails(0) })
+	case "replica-spoil":
+		r.cluster.replicas[t].setSpoils(f.Loss)
+		f.after(ctx, func() { r.cluster.replicas[t].setSpoils(0) })
 	case "replica-drain":
 		r.delist(ctx, f, t, "draining")
 	case "replica-flush":
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -86,6 +86,7 @@
 	"replica-hang":     "replicas",    // takes calls, and answers none before For has passed
 	"replica-kill":     "replicas",    // started again, cold, after For
 	"replica-slow":     "replicas",    // Factor times slower for For
+	"replica-spoil":    "replicas",    // answers Loss of its calls with noise, half a head, or an answer and another behind it
 	"replica-fail":     "replicas",    // answers Loss of its calls with 500
 	"replica-drain":    "replicas",    // draining, and ready again after For
 	"replica-leave":    "replicas",    // off the list, while it goes on serving whoever comes; on it again after For
@@ -168,7 +169,9 @@
 		return errors.New("replica-fail with no loss")
 	case !(f.StepS >= -86400 && f.StepS <= 86400):
 		return fmt.Errorf("step_s %v is over a day", f.StepS)
-	case f.Do == "calls-fail" && (f.Call == "" || f.Errno <= 0 || f.Calls < 0):
+	case f.Do == "replica-spoil" && f.Loss == 0:
+		return errors.New("replica-spoil with no loss")
+	case f.Do == "calls-fail" && (f.Call == "" || f.Errno <= 0 && f.DelayMS == 0 || f.Errno < 0 || f.Calls < 0):
 		return errors.New("calls-fail without a call or an errno")
 	case f.Do == "replica-slow" && !(f.Factor > 1 && f.Factor <= 100):
 		return fmt.Errorf("factor %v is not over 1, up to 100", f.Factor)
--- a/internal/rig/soak.go
+++ b/internal/rig/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,6 +25,7 @@
 	Dispatchers int
 	Seed        uint64
 	Seconds     float64
+	Quiet       float64  // s without a fault at the begin; 0: 2.5
 	Faults      []string // the kinds that are drawn from; none: all
 	Dir         string   // for the processes' files and logs; none: a temporary one, removed at the end unless something was wrong
 	Log         *slog.Logger
@@ -75,6 +77,12 @@
 	"fail": func(rng *rand.Rand) Fault {
 		return Fault{Do: "replica-fail", Loss: 0.4, For: between(rng, 0.5, 3), Part: 0.3}
 	},
+	"spoil": func(rng *rand.Rand) Fault {
+		return Fault{Do: "replica-spoil", Loss: 0.3, For: between(rng, 0.5, 3), Part: 0.4}
+	},
+	"disk-hangs": func(rng *rand.Rand) Fault {
+		return Fault{Do: "calls-fail", Call: system.Write, Calls: 1, DelayMS: 3000, For: between(rng, 0.5, 3), Part: 0.5}
+	},
 	"slow": func(rng *rand.Rand) Fault {
 		return Fault{Do: "replica-slow", Factor: 8, For: between(rng, 0.5, 3), Part: 0.2}
 	},
@@ -150,6 +158,9 @@
 			return nil, nil, fmt.Errorf("soak: unknown fault %q: there are %s", k, strings.Join(SoakKinds(), ", "))
 		}
 	}
+	if o.Quiet < 0 || o.Quiet > o.Seconds-leastSoak+soakQuiet {
+		return nil, nil, fmt.Errorf("soak: %v s of quiet leave no time for faults", o.Quiet)
+	}
 	if !(o.Seconds >= leastSoak && o.Seconds <= maxSeconds) {
 		return nil, nil, fmt.Errorf("soak: seconds %v are not from %v to %d", o.Seconds, leastSoak, maxSeconds)
 	}
@@ -159,7 +170,7 @@
 	s.Rate = min(s.Rate, 60)
 	played := map[string]int{}
 	last := o.Seconds - soakEnd
-	for at := soakQuiet; at < last; at += between(rng, 0.6, 1.4) * episodeEvery {
+	for at := cmp.Or(o.Quiet, soakQuiet); at < last; at += between(rng, 0.6, 1.4) * episodeEvery {
 		for _, i := range rng.Perm(len(kinds))[:min(2+rng.IntN(2), len(kinds))] {
 			f := soakKinds[kinds[i]](rng)
 			f.At = min(at+rng.Float64()*episodeSpan, last)
--- a/internal/rig/sums.go
+++ b/internal/rig/sums.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"rampspread/internal/fleet"
-	"rampspread/internal/fleet/keep"
+	"rampspread/internal/fleet/subsetter"
 	"rampspread/internal/rig/history"
 )
 
@@ -226,7 +226,7 @@
 }
 
 // Subset is what a dispatcher keeps to.
-func (r *Run) Subset(d int) (keep.Status, error) { return shown[keep.Status](r, d, "subset") }
+func (r *Run) Subset(d int) (subsetter.Status, error) { return shown[subsetter.Status](r, d, "subset") }
 
 // parts asks all dispatchers at once what they act by; those that do not answer act by nothing that this can see.
 func (r *Run) parts() (parts []float64) {
--- a/internal/state/whole/whole.go
+++ b/internal/state/atomicfile/atomicfile.go
@@ -1,6 +1,6 @@
-// Package whole keeps files that are there whole or not at all: each begins with the words that say what it is, and ends with a
+// Package atomicfile keeps files that are there whole or not at all: each begins with the words that say what it is, and ends with a
 // checksum over all before it.
-package whole
+package atomicfile
 
 import (
 	"bytes"
@@ -45,7 +45,7 @@
 func Replace(machine system.System, path string, text []byte, sync bool) error {
 	aside, err := openAside(path)
 	if err != nil {
-		return fmt.Errorf("replace: %w", err)
+		return fmt.Errorf("atomicfile: %w", err)
 	}
 	defer aside.Close() // which ends its lock
 	err = write(machine, aside, text, sync)
@@ -57,13 +57,13 @@
 	}
 	if err != nil {
 		os.Remove(aside.Name())
-		return fmt.Errorf("replace: %w", err)
+		return fmt.Errorf("atomicfile: %w", err)
 	}
 	if !sync {
 		return nil
 	}
 	if err := syncDir(machine, filepath.Dir(path)); err != nil {
-		return fmt.Errorf("replace: %w", err)
+		return fmt.Errorf("atomicfile: %w", err)
 	}
 	return nil
 }
--- a/internal/state/whole/whole_test.go
+++ b/internal/state/atomicfile/atomicfile_test.go
@@ -1,4 +1,4 @@
-package whole
+package atomicfile
 
 import (
 	"context"
--- a/internal/state/handover/handover.go
+++ b/internal/state/handover/handover.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"rampspread/decide"
-	"rampspread/internal/state/whole"
+	"rampspread/internal/state/atomicfile"
 	"rampspread/internal/system"
 )
 
@@ -70,7 +70,7 @@
 	if err := errors.Join(e.Encode(head{p.Name, p.Settings}), e.Encode(b)); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	return whole.Seal(magic, out.Bytes()), nil
+	return atomicfile.Seal(magic, out.Bytes()), nil
 }
 
 // Decode reads what Encode packed; ErrVoid: it is of no use here.
@@ -78,7 +78,7 @@
 	if len(text) > Most {
 		return b, fmt.Errorf("%w: over %d bytes", ErrVoid, Most)
 	}
-	body, err := whole.Open(magic, text)
+	body, err := atomicfile.Open(magic, text)
 	if err != nil {
 		return b, fmt.Errorf("%w: %w", ErrVoid, err)
 	}
@@ -105,7 +105,7 @@
 	if len(text) > Most {
 		return fmt.Errorf("handover: %d bytes, at most %d", len(text), Most)
 	}
-	if err := whole.Replace(p.Machine, p.file(".beliefs"), text, false); err != nil {
+	if err := atomicfile.Replace(p.Machine, p.file(".beliefs"), text, false); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
@@ -113,9 +113,9 @@
 
 // Find reads what was left; fs.ErrNotExist: nothing was.
 func (p Place) Find() (decide.Beliefs, error) {
-	text, err := whole.Read(p.file(".beliefs"), Most)
+	text, err := atomicfile.Read(p.file(".beliefs"), Most)
 	switch {
-	case errors.Is(err, whole.ErrSpoilt):
+	case errors.Is(err, atomicfile.ErrSpoilt):
 		return decide.Beliefs{}, fmt.Errorf("%w: %w", ErrVoid, err)
 	case err != nil:
 		return decide.Beliefs{}, fmt.Errorf("handover: %w", err)
--- a/internal/state/beside/beside.go
+++ b/internal/state/inflight/inflight.go
@@ -1,11 +1,11 @@
-// Package beside keeps processes of one name on one machine, of which one is to take the place of another, from carrying out the
+// Package inflight keeps processes of one name on one machine, of which one is to take the place of another, from carrying out the
 // same request. Each shows the others by files in a folder that they share what it has in hand; while it is alone it writes none.
 //
 // A process that comes makes a folder of its own, locked for as long as it lives, and takes no clients before all that were there
 // show what they have (Wait). From then on each writes down what it takes before it looks at what the others have: of two that
 // take the same at once, neither gets it, or one. A lock that is free tells that its process is gone, however it ended. What it
 // had open is then nobody's, but for filings: they may have run, and stay for the time that they are remembered.
-package beside
+package inflight
 
 import (
 	"context"
@@ -92,12 +92,12 @@
 	base := filepath.Join(dir, "rampspread-"+hex.EncodeToString(sum[:8])+".beside")
 	own := filepath.Join(base, strconv.Itoa(os.Getpid())+"-"+strconv.FormatInt(machine.Wall().UnixNano(), 36))
 	if err := os.MkdirAll(base, 0o700); err != nil {
-		return nil, fmt.Errorf("beside: %w", err)
+		return nil, fmt.Errorf("inflight: %w", err)
 	}
 	// The lock is taken before the folder has its name: a folder whose lock is free is one of a process that is gone.
 	aside, err := os.MkdirTemp(base, ".new-")
 	if err != nil {
-		return nil, fmt.Errorf("beside: %w", err)
+		return nil, fmt.Errorf("inflight: %w", err)
 	}
 	lock, err := os.Create(filepath.Join(aside, lockFile))
 	if err == nil {
@@ -111,7 +111,7 @@
 	if err != nil {
 		lock.Close()
 		os.RemoveAll(aside)
-		return nil, fmt.Errorf("beside: %w", err)
+		return nil, fmt.Errorf("inflight: %w", err)
 	}
 	t := &Table{machine: machine, base: base, own: own, keep: keep, lock: lock, patience: askMost, asks: make(chan struct{}, asksMost), held: map[string]time.Time{},
 		ran: map[string]bool{}, shown: true, beside: true}
--- a/internal/state/beside/beside_test.go
+++ b/internal/state/inflight/inflight_test.go
@@ -1,4 +1,4 @@
-package beside
+package inflight
 
 import (
 	"bufio"
--- a/internal/state/newest/newest.go
+++ b/internal/state/lastlist/lastlist.go
@@ -1,6 +1,6 @@
-// Package newest keeps on the disk the newest list of servers that a process has acted on, for its next life: one that starts
+// Package lastlist keeps on the disk the newest list of servers that a process has acted on, for its next life: one that starts
 // while discovery is silent would else act on the list of its configuration, and send to servers that it knew to be leaving.
-package newest
+package lastlist
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 	"path/filepath"
 	"time"
 
-	"rampspread/internal/state/whole"
+	"rampspread/internal/state/atomicfile"
 	"rampspread/internal/system"
 )
 
@@ -23,7 +23,7 @@
 )
 
 // ErrVoid says that a stored list is of no use here: spoilt, too old, from the future, another process's, or of another discovery.
-var ErrVoid = errors.New("newest: void")
+var ErrVoid = errors.New("lastlist: void")
 
 // Owner says whose list it is, and from where: versions of two discoveries cannot be compared.
 type Owner struct {
@@ -42,28 +42,28 @@
 func Save(machine system.System, dir string, l List) error {
 	body, err := json.Marshal(l)
 	if err != nil {
-		return fmt.Errorf("newest: %w", err)
+		return fmt.Errorf("lastlist: %w", err)
 	}
 	if len(body) > most-len(magic)-8 {
-		return fmt.Errorf("newest: %d bytes, at most %d", len(body), most)
+		return fmt.Errorf("lastlist: %d bytes, at most %d", len(body), most)
 	}
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return fmt.Errorf("newest: %w", err)
+		return fmt.Errorf("lastlist: %w", err)
 	}
-	if err := whole.Replace(machine, filepath.Join(dir, fileName), whole.Seal(magic, body), true); err != nil {
-		return fmt.Errorf("newest: %w", err)
+	if err := atomicfile.Replace(machine, filepath.Join(dir, fileName), atomicfile.Seal(magic, body), true); err != nil {
+		return fmt.Errorf("lastlist: %w", err)
 	}
 	return nil
 }
 
 // Find reads the list in a folder; fs.ErrNotExist: there is none. ErrVoid: it is of no use to this owner now.
 func Find(dir string, who Owner, now system.Stamp) (List, error) {
-	text, err := whole.Read(filepath.Join(dir, fileName), most)
-	if err != nil && !errors.Is(err, whole.ErrSpoilt) {
-		return List{}, fmt.Errorf("newest: %w", err)
+	text, err := atomicfile.Read(filepath.Join(dir, fileName), most)
+	if err != nil && !errors.Is(err, atomicfile.ErrSpoilt) {
+		return List{}, fmt.Errorf("lastlist: %w", err)
 	}
 	if err == nil {
-		text, err = whole.Open(magic, text)
+		text, err = atomicfile.Open(magic, text)
 	}
 	var l List
 	if err == nil {
--- a/internal/state/newest/newest_test.go
+++ b/internal/state/lastlist/lastlist_test.go
@@ -1,4 +1,4 @@
-package newest
+package lastlist
 
 import (
 	"errors"
--- a/internal/state/terms/terms.go
+++ b/internal/state/terms/terms.go
@@ -13,7 +13,7 @@
 	"path/filepath"
 	"sync"
 
-	"rampspread/internal/state/whole"
+	"rampspread/internal/state/atomicfile"
 	"rampspread/internal/system"
 )
 
@@ -42,7 +42,7 @@
 	path    string
 	who     Owner
 	floor   uint64
-	keeper  *whole.Keeper
+	keeper  *atomicfile.Keeper
 
 	mu    sync.Mutex
 	bound uint64
@@ -52,7 +52,7 @@
 // start is as from nothing.
 func Open(machine system.System, dir string, who Owner) *Numbers {
 	n := &Numbers{machine: machine, path: filepath.Join(dir, fileName), who: who}
-	n.keeper = whole.NewKeeper("lease numbers", n.save)
+	n.keeper = atomicfile.NewKeeper("lease numbers", n.save)
 	s, err := n.read()
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
@@ -66,11 +66,11 @@
 }
 
 func (n *Numbers) read() (s stored, err error) {
-	text, err := whole.Read(n.path, most)
+	text, err := atomicfile.Read(n.path, most)
 	if err != nil {
 		return s, err
 	}
-	body, err := whole.Open(magic, text)
+	body, err := atomicfile.Open(magic, text)
 	if err != nil {
 		return s, err
 	}
@@ -110,5 +110,5 @@
 	if err := os.MkdirAll(filepath.Dir(n.path), 0o700); err != nil {
 		return fmt.Errorf("lease numbers: %w", err)
 	}
-	return whole.Replace(n.machine, n.path, whole.Seal(magic, body), true)
+	return atomicfile.Replace(n.machine, n.path, atomicfile.Seal(magic, body), true)
 }
