--- a/internal/program/newest.go
+++ b/internal/program/newest.go
@@ -26,7 +26,7 @@
 		}
 		entries, err := json.Marshal(held.Instances)
 		if err != nil {
-			return fmt.Errorf("newest: %w", err)
+			return fmt.Errorf("list: %w", err)
 		}
 		return lastlist.Save(p.machine, files.state, lastlist.List{Owner: p.listOwner(files), At: system.Now(p.machine), Version: held.Generation, Entries: entries})
 	})
