Set the guard's listener before it serves, and play the README's soak in its test

The race detector saw the counters read what the serving goroutine set (test.sh: TestServeAndDrain); TestRootReadme did not know the new command.

--- a/example/readme_test.go
+++ b/example/readme_test.go
@@ -174,6 +174,7 @@
 		{"bin/rampspread check", "good: 2 classes", ""},
 		{"bin/rampspread import", `"hostPort": "10.1.0.19:9000"`, ""},
 		{"bin/rampspread version", "rampspread 0", ""},
+		{"bin/fleetrig soak", `"rules_broken":0,"crashes":0,"violations":0`, ""},
 		{"bin/fleetrig list", "kill-most", ""},
 		{"bin/fleetrig run", `"rules_broken":0`, ""},
 	})
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -288,8 +288,9 @@
 	guard := clients.NewGuard(front, p.bodies, &p.state, &p.audit)
 	guard.Attach(server)
 	p.guards, p.servers, p.listens = append(p.guards, guard), append(p.servers, server), append(p.listens, listener)
+	guarded := guard.Listen(listener, conns, p.machine)
 	go func() {
-		if err := server.Serve(guard.Listen(listener, conns, p.machine)); !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(guarded); !errors.Is(err, net.ErrClosed) {
 			failed <- err
 		}
 	}()
