--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -79,20 +80,7 @@
 			if r.Crashes > 0 || r.Asked == 0 || r.ByStatus["served"] == 0 || !c.shows(r) {
 				t.Errorf("%d crashes, %d asked, %v, %+v", r.Crashes, r.Asked, r.ByStatus, r.Sums)
 			}
-			var out bytes.Buffer
-			if err := r.Print(&out); err != nil {
-				t.Fatal(err)
-			}
-			lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-			var last map[string]any
-			if err := json.Unmarshal([]byte(lines[len(lines)-1]), &last); err != nil {
-				t.Fatal(err)
-			}
-			for _, key := range []string{"scenario", "seed", "dispatchers", "asked", "served_share", "worst_10s", "recovery_s", "rules_broken", "crashes"} {
-				if _, ok := last[key]; !ok {
-					t.Errorf("the last line has no %s", key)
-				}
-			}
+			checkLastLine(t, r, "scenario", "seed", "dispatchers", "asked", "served_share", "worst_10s", "recovery_s", "rules_broken", "crashes")
 			dir := t.TempDir()
 			if err := r.Keep(dir); err != nil {
 				t.Fatal(err)
@@ -104,6 +92,26 @@
 	}
 }
 
+// checkLastLine checks that the last line of a printed report is a JSON object with these keys, and returns the text.
+func checkLastLine(t *testing.T, report interface{ Print(io.Writer) error }, keys ...string) string {
+	t.Helper()
+	var out bytes.Buffer
+	if err := report.Print(&out); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	var last map[string]any
+	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &last); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range keys {
+		if _, ok := last[key]; !ok {
+			t.Errorf("the last line has no %s", key)
+		}
+	}
+	return out.String()
+}
+
 func downs(r *Report) (n int) {
 	for _, e := range r.events {
 		if e.Kind == history.Down && e.Until > 0 {
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"os"
@@ -35,22 +34,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var out bytes.Buffer
-		if err := r.Print(&out); err != nil {
-			t.Fatal(err)
-		}
-		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-		var last map[string]any
-		if err := json.Unmarshal([]byte(lines[len(lines)-1]), &last); err != nil {
-			t.Fatal(err)
-		}
-		for _, key := range []string{"seed", "rules_broken", "crashes", "violations", "faults"} {
-			if _, ok := last[key]; !ok {
-				t.Errorf("the last line has no %s", key)
-			}
-		}
+		text := checkLastLine(t, r, "seed", "rules_broken", "crashes", "violations", "faults")
 		if !r.Good() || r.Asked == 0 || len(r.Faults) < 3 || r.Served == 0 {
-			t.Error(out.String())
+			t.Error(text)
 		}
 	}
 }
