--- a/cmd/fleetrig/main.go
+++ b/cmd/fleetrig/main.go
@@ -56,6 +56,20 @@
 
 func logTo(logs io.Writer) *slog.Logger { return slog.New(cli.LogHandler(logs)) }
 
+// verdict prints a report, and tells whether anything in it was wrong.
+func verdict(out io.Writer, report interface {
+	Print(io.Writer) error
+	Good() bool
+}) error {
+	if err := report.Print(out); err != nil {
+		return err
+	}
+	if !report.Good() {
+		return errBad
+	}
+	return nil
+}
+
 func runCommand(out, logs io.Writer) *cobra.Command {
 	var o rig.Options
 	var keep string
@@ -78,13 +92,7 @@
 					return err
 				}
 			}
-			if err := report.Print(out); err != nil {
-				return err
-			}
-			if !report.Good() {
-				return errBad
-			}
-			return nil
+			return verdict(out, report)
 		}}
 	options(c, &o)
 	c.Flags().BoolVar(&o.Fleet, "fleet", false, "let the dispatchers know of each other")
--- a/cmd/fleetrig/soak.go
+++ b/cmd/fleetrig/soak.go
@@ -28,13 +28,7 @@
 			if err != nil {
 				return err
 			}
-			if err := report.Print(out); err != nil {
-				return err
-			}
-			if !report.Good() {
-				return errBad
-			}
-			return nil
+			return verdict(out, report)
 		}}
 	c.Flags().StringVar(&o.Program, "program", faulty(), "the `binary` of rampspread-faults")
 	c.Flags().IntVar(&o.Dispatchers, "dispatchers", 10, "how many `dispatchers`")
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -164,11 +164,11 @@
 // requestComplete notes that what has been read belongs to a request that has come whole, or to none. It returns false if its client is
 // known to have gone: the socket is asked, since a process that was held up reads a close only after the request.
 func (h *clientConn) requestComplete() bool {
-	_, over := h.peek()
+	gone := h.clientGone()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.fresh, h.ended = false, h.ended || over
-	return !h.ended
+	h.fresh = false
+	return !gone
 }
 
 // taken notes that the request is to be answered.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -586,10 +586,8 @@
 		c.stale = append(c.stale, q)
 		return
 	}
-	for _, a := range q.attempts {
-		if !a.ended {
-			return
-		}
+	if q.out() {
+		return
 	}
 	delete(c.requests, q.id)
 	q.timer.Stop() // it would keep the request and its body until a deadline that may be an hour away
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -121,12 +121,9 @@
 	switch why {
 	case permit.CopyOut, permit.MayHaveRun, permit.WindowOver: // the module should not have wanted it
 		c.audit.Violation(permit.ActSend, why, q.Call.ID)
-	case permit.ClientGone:
-		c.finish(a, Outcome{Outcome: decide.Moot})
-		if q.answer != nil {
-			c.left(q)
-		}
-		return
 	}
 	c.finish(a, Outcome{Outcome: decide.Moot})
+	if why == permit.ClientGone {
+		c.left(q)
+	}
 }
--- a/internal/permit/audit.go
+++ b/internal/permit/audit.go
@@ -13,7 +13,6 @@
 // The acts.
 const (
 	ActSend   Act = "send"
-	ActBegin  Act = "begin"
 	ActClose  Act = "close"
 	ActAnswer Act = "answer"
 )
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -136,11 +136,6 @@
 	AtShutdown              // the process ends
 )
 
-var causeNames = [...]string{"room", "drain", "shutdown"}
-
-// String is the cause as logs and counters name it.
-func (c Cause) String() string { return causeNames[c] }
-
 // Close holds the facts as a client's connection is to be closed by this side.
 type Close struct {
 	Cause    Cause
--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"rampspread/internal/clients"
@@ -28,8 +29,13 @@
 	endMost = time.Second
 )
 
-// waitAtMost waits for what is over once done is closed, but no longer than most.
-func waitAtMost(done <-chan struct{}, most time.Duration) {
+// waitAtMost waits for goroutines, but no longer than most.
+func waitAtMost(tasks *sync.WaitGroup, most time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		tasks.Wait()
+		close(done)
+	}()
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -100,7 +100,7 @@
 	router := classes.Config
 	router.MayProbe, router.Budgets = cfg.Settings.Limits.Probing, budgets(files.fleet)
 	p := &program{machine: machine, classes: classes, bodies: semaphore.NewWeighted(memory / 8)}
-	p.pool = servers.New(&cfg.Settings, max(sockets/8, 4), max(sockets/8, 4), machine, &p.audit)
+	p.pool = servers.New(&cfg.Settings, max(sockets/8, 4), max(sockets/8, 4), machine)
 	if p.core, err = core.New(router, seed, p.pool, machine, &p.audit); err != nil {
 		return err
 	}
@@ -146,11 +146,7 @@
 	p.front.Beside(p.beside)
 	running, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
-	defer func() {
-		ended := make(chan struct{})
-		go func() { tasks.Wait(); close(ended) }()
-		waitAtMost(ended, endMost)
-	}()
+	defer waitAtMost(&tasks, endMost)
 	defer p.pool.Close()
 	defer stop()
 	tasks.Go(func() { p.core.Run(running) })
@@ -257,15 +253,12 @@
 			done = true
 		}
 	}
-	left := make(chan struct{})
-	go func() { // beside the drain: a disk that hangs holds nothing of it up
-		defer close(left)
-		if o.handover != "" {
-			p.leave(running, at)
-		}
-	}()
+	var leaving sync.WaitGroup
+	if o.handover != "" {
+		leaving.Go(func() { p.leave(running, at) }) // beside the drain: a disk that hangs holds nothing of it up
+	}
 	err = p.drain(cfg.Settings.Grace())
-	waitAtMost(left, endMost)
+	waitAtMost(&leaving, endMost)
 	fmt.Fprintln(out, p.counters(running))
 	return err
 }
--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -118,6 +118,13 @@
 	made int // connections in all
 }
 
+// dial opens a client's connection to a dispatcher over its link, within connectWait.
+func (r *Run) dial(ctx context.Context, d int) (*fault.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectWait)
+	defer cancel()
+	return fault.Dial(ctx, r.addrs.listen(d), r.links.clients[d])
+}
+
 func (c *clients) get(ctx context.Context, d int, fresh bool) (*conn, error) {
 	c.mu.Lock()
 	for n := len(c.idle[d]); n > 0 && !fresh; n = len(c.idle[d]) {
@@ -132,9 +139,7 @@
 	}
 	c.made++
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, connectWait)
-	defer cancel()
-	k, err := fault.Dial(ctx, c.run.addrs.listen(d), c.run.links.clients[d])
+	k, err := c.run.dial(ctx, d)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rig/history/check.go
+++ b/internal/rig/history/check.go
@@ -56,7 +56,7 @@
 
 // Check is every breach in a history, by time.
 func Check(events []Event, r Rules) []Breach {
-	c := checker{rules: r, events: sorted(events), down: downs(events)}
+	c := newChecker(events, r)
 	c.answers()
 	c.runs()
 	c.drains()
@@ -66,6 +66,10 @@
 	return c.out
 }
 
+func newChecker(events []Event, r Rules) checker {
+	return checker{rules: r, events: sorted(events), down: downs(events)}
+}
+
 // sorted is a copy of events, by time.
 func sorted(events []Event) []Event {
 	events = slices.Clone(events)
@@ -291,7 +295,7 @@
 			events[i].At = e.Sent
 		}
 	}
-	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	events = sorted(events)
 	type hold struct {
 		Event
 		since time.Duration // none is out
--- a/internal/rig/history/strict.go
+++ b/internal/rig/history/strict.go
@@ -26,7 +26,7 @@
 
 // CheckStrict is every breach of the stricter rules in a history.
 func CheckStrict(events []Event, r Rules) []Breach {
-	c := checker{rules: r, events: sorted(events), down: downs(events)}
+	c := newChecker(events, r)
 	c.afterClose()
 	c.toldTime()
 	c.copies()
--- a/internal/rig/misbehave.go
+++ b/internal/rig/misbehave.go
@@ -99,9 +99,7 @@
 }
 
 func (r *Run) half(d int, text string) {
-	ctx, cancel := context.WithTimeout(context.Background(), connectWait)
-	defer cancel()
-	c, err := fault.Dial(ctx, r.addrs.listen(d), r.links.clients[d])
+	c, err := r.dial(context.Background(), d)
 	if err != nil {
 		return
 	}
@@ -130,9 +128,7 @@
 }
 
 func (r *Run) pipeline(ctx context.Context, d int, rng *rand.Rand) {
-	dialing, cancel := context.WithTimeout(ctx, connectWait)
-	defer cancel()
-	c, err := fault.Dial(dialing, r.addrs.listen(d), r.links.clients[d])
+	c, err := r.dial(ctx, d)
 	if err != nil {
 		return
 	}
--- a/internal/servers/begin_test.go
+++ b/internal/servers/begin_test.go
@@ -28,7 +28,7 @@
 				<-answer
 				testkit.Read(w, r, n)
 			})
-			pool := servers.New(testkit.Settings(t), 1, 1, system.Real(), nil) // one connection: the second attempt waits for the first one's
+			pool := servers.New(testkit.Settings(t), 1, 1, system.Real()) // one connection: the second attempt waits for the first one's
 			defer pool.Close()
 			first, second := newEvents(), newEvents()
 			order := core.Order{Call: call, To: core.Target{Name: "s", Addr: r.Addr}, Limit: 5 * time.Second}
--- a/internal/servers/local_test.go
+++ b/internal/servers/local_test.go
@@ -15,7 +15,7 @@
 // A moment in which this process has no descriptor left is no fault of the replica's, and costs the attempt a moment.
 func TestConnectWithoutDescriptors(t *testing.T) {
 	r := testkit.NewReplica(t, testkit.Read)
-	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real()), newEvents()
 	defer pool.Close()
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -48,14 +48,13 @@
 type Pool struct {
 	transport *http.Transport
 	settings  *wire.Settings
-	audit     *permit.Audit
 	bad       atomic.Int64
 	local     atomic.Int64
 }
 
 // New returns a Pool that holds at most conns connections to any one replica, and idle ones in all. A call
 // that had to wait for a connection would run late unseen, so conns is no bound for ordinary days.
-func New(settings *wire.Settings, conns, idleConns int, machine system.System, audit *permit.Audit) *Pool {
+func New(settings *wire.Settings, conns, idleConns int, machine system.System) *Pool {
 	// The time for which a state is held runs on while connections fail to come up. Half the settings' figure,
 	// and half of that time, leave room for a second and a third writer before the state must be let go.
 	dial := wire.FromMS(settings.Limits.ConnectTimeoutMs) / 2
@@ -69,7 +68,7 @@
 	if idle <= 0 {
 		idle = 10 * time.Second
 	}
-	p := &Pool{settings: settings, audit: audit}
+	p := &Pool{settings: settings}
 	dialer := &dialer{timeout: dial, machine: machine, failed: &p.local}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -49,7 +49,7 @@
 
 func send(t *testing.T, addr string) (core.Attempt, *events) {
 	t.Helper()
-	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real()), newEvents()
 	t.Cleanup(pool.Close)
 	return pool.Send(core.Order{Call: call, To: core.Target{Name: "s", Addr: addr}, Limit: 5 * time.Second}, ev), ev
 }
@@ -128,7 +128,7 @@
 			}()
 		}
 	}()
-	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real()), newEvents()
 	defer pool.Close()
 	for _, want := range []decide.Outcome{decide.ReadDone, decide.Reset} {
 		pool.Send(core.Order{Call: call, To: core.Target{Name: "s", Addr: l.Addr().String()}, Limit: time.Second}, ev)
@@ -174,7 +174,7 @@
 	for name, script := range map[string]testkit.Script{"no answer": testkit.Silent, "a stream that nobody wants": testkit.Write("a")} {
 		t.Run(name, func(t *testing.T) {
 			r := testkit.NewReplica(t, script)
-			pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil), taker{make(chan time.Time, 1), make(chan time.Time, 1)}
+			pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real()), taker{make(chan time.Time, 1), make(chan time.Time, 1)}
 			defer pool.Close()
 			a := pool.Send(core.Order{Call: core.Call{ID: "id-1", Method: http.MethodPost, Target: "/", Body: []byte("{}")},
 				To: core.Target{Name: "s", Addr: r.Addr}, Limit: 5 * time.Second}, ev)
@@ -201,7 +201,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real()), newEvents()
 	defer pool.Close()
 	big := call
 	big.Body = make([]byte, 64<<20)
@@ -238,7 +238,7 @@
 			io.Copy(io.Discard, conn) // it runs what comes next, and says nothing yet
 			conn.Close()
 		})
-		pool := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil)
+		pool := servers.New(testkit.Settings(t), 8, 8, system.Real())
 		to := core.Target{Name: "s", Addr: r.Addr}
 		for n, want := range []decide.Outcome{decide.Full, decide.ReadDone} {
 			ev := newEvents()
@@ -274,7 +274,7 @@
 	}
 	settings := testkit.Settings(t)
 	settings.Limits.ConnectTimeoutMs, settings.FamilyInfo.ReleaseWithinMs = 60_000, 200
-	pool, ev := servers.New(settings, 8, 8, system.Real(), nil), newEvents()
+	pool, ev := servers.New(settings, 8, 8, system.Real()), newEvents()
 	defer pool.Close()
 	from := time.Now()
 	pool.Send(core.Order{Call: call, To: core.Target{Name: "s", Addr: addr}, Limit: 2 * time.Minute}, ev)
@@ -295,7 +295,7 @@
 		<-answer
 		testkit.Read(w, r, n)
 	})
-	pool := servers.New(testkit.Settings(t), 1, 1, system.Real(), nil) // one connection: the second attempt waits for the first one's
+	pool := servers.New(testkit.Settings(t), 1, 1, system.Real()) // one connection: the second attempt waits for the first one's
 	defer pool.Close()
 	first, second := newEvents(), newEvents()
 	to := core.Target{Name: "s", Addr: r.Addr}
@@ -325,7 +325,7 @@
 		<-answer
 		testkit.Read(w, r, n)
 	})
-	pool := servers.New(testkit.Settings(t), 1, 1, system.Real(), nil) // one connection: the second attempt waits for the first one's
+	pool := servers.New(testkit.Settings(t), 1, 1, system.Real()) // one connection: the second attempt waits for the first one's
 	defer pool.Close()
 	first, second := newEvents(), newEvents()
 	to := core.Target{Name: "s", Addr: r.Addr}
@@ -471,7 +471,7 @@
 func TestBytesBehindAnAnswer(t *testing.T) {
 	read := "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":%d}"
 	addr, calls := raw(t, fmt.Sprintf(read, 1)+fmt.Sprintf(read, 2), fmt.Sprintf(read, 3))
-	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real()), newEvents()
 	defer pool.Close()
 	for n := range 200 {
 		pool.Send(core.Order{Call: call, To: core.Target{Name: "s", Addr: addr}, Limit: time.Second}, ev)
@@ -507,7 +507,7 @@
 		<-r.Context().Done()
 		close(gone)
 	})
-	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil), newEvents()
+	pool, ev := servers.New(testkit.Settings(t), 8, 8, system.Real()), newEvents()
 	defer pool.Close()
 	ev.reject = true
 	pool.Send(core.Order{Call: call, To: core.Target{Name: "s", Addr: r.Addr}, Limit: time.Second}, ev)
@@ -530,7 +530,7 @@
 		through = append(through, core.Target{Name: fmt.Sprint("silent", i), Addr: l.Addr().String()})
 	}
 	live := testkit.NewReplica(t, testkit.Read)
-	pool := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil)
+	pool := servers.New(testkit.Settings(t), 8, 8, system.Real())
 	defer pool.Close()
 	begin := time.Now()
 	pool.Release(call, append(through, core.Target{Name: "live", Addr: live.Addr}))
@@ -544,7 +544,7 @@
 func TestReleaseThroughOneThatLives(t *testing.T) {
 	dead := testkit.NoOne(t)
 	live := testkit.NewReplica(t, testkit.Read)
-	pool := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil)
+	pool := servers.New(testkit.Settings(t), 8, 8, system.Real())
 	defer pool.Close()
 	pool.Release(call, []core.Target{{Name: "dead", Addr: dead}, {Name: "live", Addr: live.Addr}})
 	testkit.Eventually(t, "the release", func() bool { return live.Releases(call.ID) == 1 })
@@ -554,7 +554,7 @@
 // all tell nothing, in time, and none of them is an answer about a queue of nought.
 func TestProbe(t *testing.T) {
 	dead := testkit.NoOne(t)
-	pool := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil)
+	pool := servers.New(testkit.Settings(t), 8, 8, system.Real())
 	defer pool.Close()
 	for name, want := range map[string]*decide.Load{
 		"TEXT util=0.5, queue=3, x0=0.25": {Memory: 0.25, Waiting: -1, Queue: 3, Busy: 0.5},
@@ -599,7 +599,7 @@
 		io.WriteString(w, "TEXT util=0.5, queue=1, x0=0.2")
 	}))
 	defer s.Close()
-	pool := servers.New(testkit.Settings(t), 8, 8, system.Real(), nil)
+	pool := servers.New(testkit.Settings(t), 8, 8, system.Real())
 	defer pool.Close()
 	for _, duty := range []string{"", "probe/r 7"} {
 		told := make(chan *decide.Load, 1)
@@ -637,7 +637,7 @@
 				io.Copy(conn, strings.NewReader(text))
 			}
 		}()
-		pool, ev := servers.New(settings, 8, 8, system.Real(), nil), newEvents()
+		pool, ev := servers.New(settings, 8, 8, system.Real()), newEvents()
 		defer pool.Close()
 		pool.Send(core.Order{Call: call, To: core.Target{Name: "s", Addr: l.Addr().String()}, Limit: time.Second}, ev)
 		select {
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -52,13 +53,21 @@
 func Now(s System) Stamp {
 	out := Stamp{Wall: s.Wall().UnixNano()}
 	var ts unix.Timespec
-	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
-	if err == nil && unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) == nil {
-		out.Boot, out.BootID = ts.Nano(), strings.TrimSpace(string(id))
+	if id := bootID(); id != "" && unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) == nil {
+		out.Boot, out.BootID = ts.Nano(), id
 	}
 	return out
 }
 
+// bootID names this start of the machine, which no process outlives: it is read once. Empty: it cannot be read.
+var bootID = sync.OnceValue(func() string {
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(id))
+})
+
 // Age is how long before now a stamp was: by the machine's own clock within one of its starts, whatever was done to the wall clock,
 // and by the wall clock else.
 func (s Stamp) Age(now Stamp) time.Duration {
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -227,7 +227,7 @@
 func NewFleet(t testing.TB, read, write Script) *Fleet {
 	t.Helper()
 	f := &Fleet{Settings: Settings(t), Reader: NewReplica(t, read), Writer: NewReplica(t, write)}
-	f.Pool = servers.New(f.Settings, 8, 8, system.Real(), nil)
+	f.Pool = servers.New(f.Settings, 8, 8, system.Real())
 	cfg, err := f.Settings.Router()
 	if err != nil {
 		t.Fatal(err)
