Estimate by the settings' token cost, take silent replicas for busy, poll the next ranks

Cells without decode replicas (most, at 8 of 100) were handicapped by 150 ms. Ruled out: an attention term (uncached x context): it lowers the median error of idle replicas' estimates from 27.7 to 24.6 ms and matters beyond 16,000 uncached tokens, 2% of the prefills. Slots in use say little beyond the queue (R2 0.055 against 0.167).

--- a/routing/estimate.go
+++ b/routing/estimate.go
@@ -13,8 +13,10 @@
 	commonMS := max(coefficients[baseInput]-initialPrefillBaseMS, 0) // a wait that the model takes for a cost
 	prefillMS = (coefficients[baseInput] + coefficients[kiloTokensInput]*uncachedKiloTokens - commonMS) / ramp
 	if r.cfg.CanPollLoad && r.loadFresh(replica) {
-		perRequestMS := r.perQueuedRequest.mean(r.now, initialPerQueuedRequestMS, priorSamples)
-		return replica.reportedQueue*perRequestMS/ramp + r.overdueMS(replica), prefillMS
+		return replica.reportedQueue*r.perQueuedRequestMS()/ramp + r.overdueMS(replica), prefillMS
+	}
+	if r.pollUnanswered(replica) {
+		return r.unansweredDelayMS()/ramp + r.overdueMS(replica), prefillMS
 	}
 	queueDelayMS = coefficients[aheadInput] * float64(len(replica.pending))
 	if replica.reportedBacklog >= 0 {
@@ -25,6 +27,22 @@
 	return queueDelayMS, prefillMS
 }
 
+// perQueuedRequestMS returns the wait per request ahead, in ms. Its prior is what the router's own prefills cost.
+func (r *Router) perQueuedRequestMS() float64 {
+	return r.perQueuedRequest.mean(r.now, r.meanPrefillMS(), priorSamples)
+}
+
+// meanPrefillMS returns what a prefill costs on average, in ms.
+func (r *Router) meanPrefillMS() float64 {
+	return r.prefillCost.mean(r.now, initialPerQueuedRequestMS, 1)
+}
+
+// unansweredDelayMS returns the wait at a replica that has not answered a load poll in time, in ms: replicas answer
+// between their steps, so it is prefilling a long prompt.
+func (r *Router) unansweredDelayMS() float64 {
+	return r.unansweredDelay.mean(r.now, unansweredPollRequests*r.perQueuedRequestMS(), priorSamples)
+}
+
 // overdueMS returns by how much the oldest pending attempt at a replica is overdue, in ms. It protects against silent
 // and slowed replicas before a timeout fires.
 func (r *Router) overdueMS(replica *replica) float64 {
@@ -52,7 +70,11 @@
 // cellDecodeWaitMS returns the least wait among the decode replicas of a prefill replica's cell, or among all if those
 // of the cell wait for longer by nearFullWaitMS.
 func (r *Router) cellDecodeWaitMS(c *cellCapacity) float64 {
-	waitMS := min(c.minDecodeWaitMS, r.totalCapacity.minDecodeWaitMS+nearFullWaitMS)
+	waitMS := c.minDecodeWaitMS
+	if math.IsInf(waitMS, 1) {
+		waitMS = r.totalCapacity.minDecodeWaitMS
+	}
+	waitMS = min(waitMS, r.totalCapacity.minDecodeWaitMS+nearFullWaitMS)
 	if math.IsInf(waitMS, 1) {
 		return 0
 	}
--- a/routing/learning.go
+++ b/routing/learning.go
@@ -62,13 +62,18 @@
 		return
 	}
 	inputs := latencyInputs{1, float64(max(0, req.PromptTokens-cachedTokens)) / 1000, req.ownAttemptsAhead}
+	prefillMS := r.prefillModel.predict(latencyInputs{inputs[baseInput], inputs[kiloTokensInput]})
 	commonMS := r.commonQueueDelay.mean(r.now, 0, commonDelayPriorSamples)
 	ramp := r.rampFraction(replica)
 	elapsedMS, expectedMS := toMS(event.Elapsed), r.prefillModel.predict(inputs)/ramp+commonMS
+	r.prefillCost.add(r.now, prefillMS)
 	replica.queueDelay.add(r.now, elapsedMS-expectedMS)
 	if req.reportedQueue >= minQueueForSample {
 		r.perQueuedRequest.add(r.now, elapsedMS*ramp/req.reportedQueue)
 	}
+	if req.pollUnanswered {
+		r.unansweredDelay.add(r.now, max(elapsedMS*ramp-prefillMS, 0))
+	}
 	if event.Outcome == QueueFull { // no measured time, so it says less of the other replicas
 		elapsedMS = min(elapsedMS, outlierMultiple*expectedMS+outlierMarginMS)
 	}
--- a/routing/loadpoll.go
+++ b/routing/loadpoll.go
@@ -1,11 +1,14 @@
 package routing
 
+import "slices"
+
 // pollLoads polls the prefill replicas of the lowest rendezvous ranks, or some replicas that decode in the prefill
 // replica's cell, for their load, and reports whether the request has to wait for the answers. Ranks keep a request
 // where its prefix is cached, at all routers alike; loads tell which of these few replicas is overloaded (the power of
-// two choices). A router that sees enough prefills of each replica does not poll.
+// two choices). Where all of them are busy the next ranks follow, so that a prefix that is popular with all routers
+// together spreads over as many replicas as it needs. A router that sees enough prefills of each replica does not poll.
 func (r *Router) pollLoads(req *request) bool {
-	if !r.cfg.CanPollLoad || req.pollCandidates != nil || r.samplesPerReplica() >= minSamplesPerReplica {
+	if !r.cfg.CanPollLoad || !r.wantsPoll(req) || r.samplesPerReplica() >= minSamplesPerReplica {
 		return false
 	}
 	r.sumCapacity(req.Class)
@@ -13,10 +16,12 @@
 	r.candidates = r.candidates[:0]
 	for _, replica := range r.active {
 		rank, ok := r.pollRank(replica, req, replicaCount, origin)
-		if ok && r.healthy(replica, req.Class) {
+		if ok && r.healthy(replica, req.Class) && !slices.Contains(req.pollCandidates, replica.ID) {
 			r.candidates = append(r.candidates, candidate{replica: replica, rank: rank})
 		}
 	}
+	req.pollRounds++
+	req.pollDeadline = r.now + pollTimeout
 	for _, c := range r.withinPollBudget(lowestRanked(r.candidates, pollCandidateCount)) {
 		req.pollCandidates = append(req.pollCandidates, c.ID)
 		if r.loadFresh(c.replica) {
@@ -24,6 +29,7 @@
 		}
 		req.pendingPolls++
 		if c.pollWaiters = append(c.pollWaiters, req.Request); len(c.pollWaiters) == 1 {
+			c.pollSentAt = r.now
 			r.emit(PollLoad{c.ID})
 		}
 	}
@@ -33,6 +39,22 @@
 	return req.pendingPolls > 0
 }
 
+// wantsPoll reports whether the request still needs loads: it has polled no replica yet, or it is to be prefilled and
+// each of those that it polled is busy for longer than an average prefill takes.
+func (r *Router) wantsPoll(req *request) bool {
+	if req.pollCandidates == nil {
+		return true
+	}
+	if req.pollRounds >= maxPollRounds || req.state != awaitingPrefill || !req.selectsByPoll() {
+		return false
+	}
+	longest := r.meanPrefillMS()
+	return !slices.ContainsFunc(req.pollCandidates, func(id EndpointID) bool {
+		replica := r.byID[id]
+		return replica != nil && r.loadFresh(replica) && replica.reportedQueue*r.perQueuedRequestMS() <= longest
+	})
+}
+
 // pollRank returns a replica's rank among those that may be polled for a request, and whether it is one of them. It
 // always makes one random draw, whether the rank is random or not.
 func (r *Router) pollRank(replica *replica, req *request, replicaCount float64, origin *replica) (rank float64, ok bool) {
@@ -71,8 +93,9 @@
 	}
 	if event.Load == nil || event.Load.QueuedRequests < 0 {
 		replica.health[0].update(r.now, 1, transportFailureWeight)
+		replica.silentUntil = r.now + loadMaxAge
 	} else {
-		replica.lastResponse = r.now
+		replica.lastResponse, replica.silentUntil = r.now, 0
 		replica.applyLoad(event.Load, r.now)
 	}
 	waiters := replica.pollWaiters
@@ -111,6 +134,13 @@
 // loadFresh reports whether a replica's load report is recent enough for use.
 func (r *Router) loadFresh(replica *replica) bool { return r.now-replica.loadReportedAt <= loadMaxAge }
 
+// pollUnanswered reports whether a replica has not answered the latest load poll for pollTimeout, or for so long that
+// the poll was given up a moment ago.
+func (r *Router) pollUnanswered(replica *replica) bool {
+	overdue := len(replica.pollWaiters) > 0 && r.now-replica.pollSentAt >= pollTimeout
+	return overdue || r.now < replica.silentUntil
+}
+
 // loadKnown reports whether a replica's load report may be used: where loads are not polled, reports come with
 // outcomes and the latest one counts whatever its age.
 func (r *Router) loadKnown(replica *replica) bool { return !r.cfg.CanPollLoad || r.loadFresh(replica) }
--- a/routing/loadpoll_test.go
+++ b/routing/loadpoll_test.go
@@ -59,6 +59,58 @@
 	}
 }
 
+// TestBusyReplicasAreFollowedByTheNextRanks: while all polled replicas have queues the next ranks are polled, each
+// replica once, for maxPollRounds rounds; the request goes to the first that is idle. A timer of an earlier round does
+// not end a later one.
+func TestBusyReplicasAreFollowedByTheNextRanks(t *testing.T) {
+	start := func() (*harness, []EndpointID) {
+		h := newHarness(t, func(c *Config) { c.CanPollLoad = true })
+		for id := range EndpointID(10) {
+			h.handle(0, EndpointUpdate{Endpoints: []Endpoint{{ID: 20 + id, Kind: 0, State: Ready}}})
+		}
+		return h, polledEndpoints(h.arrive(1, 0))
+	}
+	busy := &LoadReport{QueuedRequests: 9}
+	h, polled := start()
+	seen := slices.Clone(polled)
+	for round := 2; round <= maxPollRounds; round++ {
+		h.handle(ms, LoadPolled{polled[0], busy})
+		polled = polledEndpoints(h.handle(pollTimeout/2, LoadPolled{polled[1], busy}))
+		if len(polled) != pollCandidateCount {
+			t.Fatalf("round %d polled %v", round, polled)
+		}
+		if acts := h.handle(pollTimeout/2, TimerFired{1}); len(acts) != 0 {
+			t.Fatalf("round %d, the timer of the round before: %+v", round, acts)
+		}
+		seen = append(seen, polled...)
+	}
+	h.handle(ms, LoadPolled{polled[0], busy})
+	if to := h.sentTo(h.handle(ms, LoadPolled{polled[1], &LoadReport{}})); to != polled[1] {
+		t.Errorf("went to %d, not to %d, which is idle", to, polled[1])
+	}
+	slices.Sort(seen)
+	if want := maxPollRounds * pollCandidateCount; len(slices.Compact(seen)) != want {
+		t.Errorf("polled %v, want %d different replicas", seen, want)
+	}
+
+	h, polled = start()
+	h.handle(ms, LoadPolled{polled[0], busy})
+	if to := h.sentTo(h.handle(ms, LoadPolled{polled[1], &LoadReport{}})); to != polled[1] {
+		t.Errorf("went to %d, not to %d, which was idle in the first round", to, polled[1])
+	}
+}
+
+// polledEndpoints returns the replicas that the actions poll.
+func polledEndpoints(acts []Action) []EndpointID {
+	var polled []EndpointID
+	for _, act := range acts {
+		if poll, ok := act.(PollLoad); ok {
+			polled = append(polled, poll.Endpoint)
+		}
+	}
+	return polled
+}
+
 // Before a decode attempt the decode replicas of the cell are polled: one with queued requests is not used, and where
 // all have them the request leaves the cell.
 func TestLoadPollBeforeDecode(t *testing.T) {
--- a/routing/prefill.go
+++ b/routing/prefill.go
@@ -81,12 +81,17 @@
 	if !r.healthy(replica, req.Class) {
 		return false
 	}
-	if req.selectsByPoll() && !(slices.Contains(req.pollCandidates, replica.ID) && r.loadFresh(replica)) {
+	if req.selectsByPoll() && !r.polledFor(replica, req) {
 		return false
 	}
 	return !r.inSlowStart(replica) || r.takeSlowStartTurn(replica, req, 1, r.slowStartAllowance(req))
 }
 
+// polledFor reports whether a replica was polled for the request and its load is known, if only by its silence.
+func (r *Router) polledFor(replica *replica, req *request) bool {
+	return slices.Contains(req.pollCandidates, replica.ID) && (r.loadFresh(replica) || r.pollUnanswered(replica))
+}
+
 // selectsByPoll reports whether the request goes to one of the replicas that were polled for it: on its first attempt.
 func (req *request) selectsByPoll() bool { return req.pollCandidates != nil && req.attempts == 0 }
 
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -26,9 +26,11 @@
 	load            LoadReport // the latest report, as it was given
 	reportedQueue   float64    // requests ahead of a new one, as of loadReportedAt
 	loadReportedAt  time.Duration
-	reportedMemory  float64     // fraction of memory in use; negative: none reported
-	reportedBacklog float64     // thousands of tokens to prefill or fetch; negative: none reported
-	pollWaiters     []RequestID // requests that wait for the answer to a load poll
+	reportedMemory  float64       // fraction of memory in use; negative: none reported
+	reportedBacklog float64       // thousands of tokens to prefill or fetch; negative: none reported
+	pollWaiters     []RequestID   // requests that wait for the answer to a load poll
+	pollSentAt      time.Duration // of the latest load poll
+	silentUntil     time.Duration // it counts as silent until then, since a load poll ended without an answer
 	pollBudget      tokenbucket.Bucket
 
 	slowStartCredit float64 // in slow start: requests, or the part of one, that it may be sent
@@ -45,7 +47,7 @@
 func (rep *replica) resetStats(r *Router) {
 	rep.cacheValidFrom, rep.fullUntil = r.now, 0
 	rep.reportedMemory, rep.reportedBacklog = -1, -1
-	rep.load = LoadReport{-1, -1, -1, -1}
+	rep.load, rep.silentUntil = LoadReport{-1, -1, -1, -1}, 0
 	rep.queueDelay = decayedMean{timeConstant: modelTimeConstant}
 	rep.firstTokenDelay = decayedMean{timeConstant: decodeWaitTimeConstant}
 	rep.slowStartCredit = r.rng.Float64()
--- a/routing/request.go
+++ b/routing/request.go
@@ -71,12 +71,15 @@
 	expectedCachedTokens int             // prefill: prompt tokens expected in the replica's prefix cache
 	estimate             PrefillEstimate // prefill: with Config.ObservePrefills
 	reportedQueue        float64         // prefill: requests ahead, by the replica's load report
+	pollUnanswered       bool            // prefill: the replica had not answered a load poll in time
 	ownAttemptsAhead     float64         // pending attempts of this router at the replica
 
 	// The selection of the next replica.
 	selectionStart time.Duration // time of its first look; selections that are repeated get no slow-start turn
 	pollCandidates []EndpointID  // replicas whose load is known or has been polled for the request; nil: not polled yet
 	pendingPolls   int           // polls without an answer yet
+	pollRounds     int           // how often replicas were polled for the next attempt
+	pollDeadline   time.Duration // until then the request waits for the answers
 
 	// The first attempt that may have run, if any.
 	mayHaveRun   bool
@@ -158,6 +161,7 @@
 	req.expectedCachedTokens = r.expectedCachedTokens(replica, req, best.rank)
 	req.ownAttemptsAhead = float64(len(replica.pending))
 	req.reportedQueue = r.reportedQueueOf(replica)
+	req.pollUnanswered = r.pollUnanswered(replica)
 	r.noteEstimate(req, best)
 	r.recordPrefix(req.Session, replica.ID, req.PromptTokens)
 	r.recordPrefix(req.SharedPrefix, replica.ID, req.SharedPrefixTokens)
@@ -256,7 +260,7 @@
 // prefill has no effect however it ends, so another replica may always be tried.
 func (r *Router) prefillEnded(req *request, event AttemptEnded) {
 	if event.Outcome == PrefillDone {
-		req.state, req.pollCandidates = awaitingDecode, nil
+		req.state, req.pollCandidates, req.pollRounds = awaitingDecode, nil, 0
 		r.advance(req)
 		return
 	}
@@ -326,6 +330,9 @@
 	case id&releaseTimerFlag != 0:
 		r.releaseIfExpired(req)
 	case req.state == awaitingPrefill || req.state == awaitingDecode:
+		if req.pendingPolls > 0 && r.now < req.pollDeadline {
+			return // the timer of earlier polls
+		}
 		if req.pendingPolls > 0 { // the answers did not come in time
 			req.pendingPolls, req.selectionStart = 0, r.now
 		}
--- a/routing/router.go
+++ b/routing/router.go
@@ -55,6 +55,8 @@
 	estimateError    decayedMean  // ms, absolute error of prefill estimates
 	cacheHitRatio    decayedMean  // tokens found in the prefix cache per token expected there
 	perQueuedRequest decayedMean  // ms of wait per request ahead
+	prefillCost      decayedMean  // ms that prefills take by prefillModel, without a wait
+	unansweredDelay  decayedMean  // ms of wait at replicas that did not answer a load poll in time
 	arrivals         decayedMean  // its count is the number of recent requests
 
 	tenantBuckets []tokenbucket.Bucket
@@ -83,9 +85,11 @@
 		estimateError:    decayedMean{timeConstant: modelTimeConstant},
 		cacheHitRatio:    decayedMean{timeConstant: modelTimeConstant},
 		perQueuedRequest: decayedMean{timeConstant: modelTimeConstant},
+		prefillCost:      decayedMean{timeConstant: modelTimeConstant},
+		unansweredDelay:  decayedMean{timeConstant: modelTimeConstant},
 		arrivals:         decayedMean{timeConstant: popularityTimeConstant},
-		prefillModel:     newLatencyModel(),
-		decodeModel:      newLatencyModel(),
+		prefillModel:     newLatencyModel(cfg.priorPerKiloTokenMS()),
+		decodeModel:      newLatencyModel(initialPrefillPerKiloTokenMS),
 		tightestBudgetMS: math.Inf(1),
 	}
 	r.updateClasses()
--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -25,8 +25,8 @@
 const (
 	// initialPrefillBaseMS is the prior cost of a prefill. Raising it makes a new router more cautious.
 	initialPrefillBaseMS = 6.91042
-	// initialPrefillPerKiloTokenMS is the prior cost of 1,000 uncached tokens. Raising it makes a new router favour
-	// cached prefixes more.
+	// initialPrefillPerKiloTokenMS is the prior cost of 1,000 uncached tokens where no class's objective grows with the
+	// prompt (priorPerKiloTokenMS). Raising it makes a new router favour cached prefixes more.
 	initialPrefillPerKiloTokenMS = 17.67
 	// initialStepMS is the prior cost of each own unfinished prefill ahead. Raising it makes a new router spread more.
 	initialStepMS = 7.0
@@ -50,9 +50,12 @@
 	// decodeWaitTimeConstant is that of a decode replica's observed wait. Raising it keeps a replica that was slow out
 	// of use for longer before it is tried again.
 	decodeWaitTimeConstant = 2 * time.Second
-	// initialPerQueuedRequestMS is the prior wait per request ahead. Raising it makes a new router reject at shorter
-	// queues.
+	// initialPerQueuedRequestMS is the prior wait per request ahead of a router that has sent no prefill yet. Raising it
+	// makes a new router reject at shorter queues.
 	initialPerQueuedRequestMS = 60.0
+	// unansweredPollRequests is the number of requests that are assumed ahead at a replica which does not answer a load
+	// poll in time: the one that it is prefilling, and one behind it. Raising it sends less to busy replicas.
+	unansweredPollRequests = 2.0
 	// minQueueForSample is the reported queue from which on a prefill is a sample of the wait per request ahead.
 	// Raising it gives fewer and better samples.
 	minQueueForSample = 2
@@ -155,6 +158,9 @@
 	// pollCandidateCount is the number of replicas polled for a request. Raising it finds shorter queues and loses
 	// prefix locality.
 	pollCandidateCount = 2
+	// maxPollRounds is how often replicas are polled for one prefill while all that were polled are busy. Raising it
+	// spreads popular prefixes further, and delays requests while all replicas are busy.
+	maxPollRounds = 3
 	// pollTimeout is the time that a request waits for the answers. Raising it delays requests behind dead replicas.
 	pollTimeout = 40 * ms
 	// loadMaxAge is the age up to which a report is used. Raising it polls less and herds more.
