--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -54,8 +54,9 @@
 	// makes a new router reject at shorter queues.
 	initialPerQueuedRequestMS = 60.0
 	// unansweredPollRequests is the number of requests that are assumed ahead at a replica which does not answer a load
-	// poll in time: the one that it is prefilling, and one behind it. Raising it sends less to busy replicas.
-	unansweredPollRequests = 2.0
+	// poll in time: more than the two that such replicas have in the mean, since some have many and a request that waits
+	// for those is late. Raising it sends less to busy replicas, and more to ones that have not cached the prefix.
+	unansweredPollRequests = 4.0
 	// minQueueForSample is the reported queue from which on a prefill is a sample of the wait per request ahead.
 	// Raising it gives fewer and better samples.
 	minQueueForSample = 2
