--- a/routing/event.go
+++ b/routing/event.go
@@ -157,3 +157,24 @@
 	QueuedRequests   float64 // requests waiting
 	SlotUtilization  float64 // fraction of slots in use
 }
+
+// sanitized returns the report with each value that no replica can have as an absent one; nil stays nil.
+func (l *LoadReport) sanitized() *LoadReport {
+	if l == nil {
+		return nil
+	}
+	return &LoadReport{
+		Memory:           plausibleOrAbsent(l.Memory),
+		QueuedKiloTokens: plausibleOrAbsent(l.QueuedKiloTokens),
+		QueuedRequests:   plausibleOrAbsent(l.QueuedRequests),
+		SlotUtilization:  plausibleOrAbsent(l.SlotUtilization),
+	}
+}
+
+// plausibleOrAbsent returns a value of a load report, or -1 for one that is negative, NaN or too large.
+func plausibleOrAbsent(value float64) float64 {
+	if value >= 0 && value < maxPlausible {
+		return value
+	}
+	return -1
+}
--- a/routing/learning.go
+++ b/routing/learning.go
@@ -82,6 +82,9 @@
 	if ramp < 1 {
 		return // the replica's speed by now is not known
 	}
+	if elapsedMS < (r.prefillModel.predict(inputs)-outlierMarginMS)/outlierMultiple {
+		return // the prompt cannot be as long as the client says; one such sample would outweigh all others
+	}
 	r.prefillModel.add(r.now, inputs, min(elapsedMS-commonMS, r.prefillModel.outlierLimit(inputs)))
 }
 
--- a/routing/prefixcache.go
+++ b/routing/prefixcache.go
@@ -24,13 +24,25 @@
 	}
 }
 
-// sweepPrefixCache removes the entries that have not been used for a long time, every sweepInterval.
+// sweepPrefixCache removes the entries that have not been used for a long time, every sweepInterval. While there are
+// more than maxPrefixEntries it also removes those that have been unused for longest.
 func (r *Router) sweepPrefixCache() {
-	if r.now-r.sweptAt < sweepInterval {
+	full := len(r.prefixCache) > maxPrefixEntries
+	if !full && r.now-r.sweptAt < sweepInterval {
 		return
 	}
 	r.sweptAt = r.now
-	oldest := r.now - prefixExpiryMultiple*popularityTimeConstant
+	maxAge := time.Duration(prefixExpiryMultiple * popularityTimeConstant)
+	r.removePrefixesUnusedFor(maxAge)
+	for full && len(r.prefixCache) > maxPrefixEntries*3/4 && maxAge > 0 {
+		maxAge /= 2
+		r.removePrefixesUnusedFor(maxAge)
+	}
+}
+
+// removePrefixesUnusedFor removes the entries that have not been used for longer than a time.
+func (r *Router) removePrefixesUnusedFor(maxAge time.Duration) {
+	oldest := r.now - maxAge
 	maps.DeleteFunc(r.prefixCache, func(_ Key, entry *prefixEntry) bool {
 		return max(entry.updatedAt, entry.requests.updatedAt) < oldest
 	})
@@ -57,13 +69,14 @@
 
 // expectedCachedTokens returns how many of the prompt's tokens are expected in a prefill replica's cache: by what this
 // router has sent there and, where the replica's rank is that of a replica for the shared prefix, by what other routers
-// will have sent there.
+// will have sent there. A request that goes by polled loads does not count on others: its router sees too few requests to
+// know a popular prefix from a rare one, which nobody has sent there, and its rank alone decides between equal queues.
 func (r *Router) expectedCachedTokens(replica *replica, req *request, rank float64) int {
 	tokens := max(
 		r.recordedTokens(req.Session, req.PromptTokens, replica),
 		r.recordedTokens(req.SharedPrefix, req.SharedPrefixTokens, replica),
 	)
-	if rank < notPrefixReplicaRank {
+	if rank < notPrefixReplicaRank && !req.selectsByPoll() {
 		tokens = max(tokens, float64(min(req.SharedPrefixTokens, req.PromptTokens)))
 	}
 	return int(tokens * r.cacheHitRatio.mean(r.now, 1, priorSamples))
--- a/routing/prefixcache_test.go
+++ b/routing/prefixcache_test.go
@@ -93,3 +93,25 @@
 		t.Errorf("the only decode replica of the cell got %d of 500, an even share is 100", n[14])
 	}
 }
+
+// TestPolledRequestsCountOnOwnPrefillsOnly: a rank alone makes no prefix cached for a request that goes by polled
+// loads, as it does for one that goes by estimates; what this router has sent counts for both.
+func TestPolledRequestsCountOnOwnPrefillsOnly(t *testing.T) {
+	h := newHarness(t, nil)
+	req := &request{RequestArrived: RequestArrived{SharedPrefix: 5, SharedPrefixTokens: 700, PromptTokens: 1000}}
+	if got := h.r.expectedCachedTokens(h.r.byID[1], req, 0); got != 700 {
+		t.Errorf("by estimates: %d tokens", got)
+	}
+	req.pollCandidates = []EndpointID{1, 2}
+	if got := h.r.expectedCachedTokens(h.r.byID[1], req, 0); got != 0 {
+		t.Errorf("by polled loads: %d tokens", got)
+	}
+	h.r.recordPrefix(5, 1, 700)
+	if got := h.r.expectedCachedTokens(h.r.byID[1], req, 0); got != 700 {
+		t.Errorf("after a prefill of this router: %d tokens", got)
+	}
+	req.attempts = 1
+	if got := h.r.expectedCachedTokens(h.r.byID[2], req, 0); got != 700 {
+		t.Errorf("after a failure, by estimates: %d tokens", got)
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -123,12 +123,15 @@
 	case FirstToken:
 		r.firstToken(e)
 	case AttemptEnded:
+		e.Load = e.Load.sanitized()
 		r.attemptEnded(e)
 	case ClientGone:
 		r.clientDisconnected(e.Request)
 	case LoadPolled:
+		e.Load = e.Load.sanitized()
 		r.loadPolled(e)
 	case PeerLoadReport:
+		e.Load = e.Load.sanitized()
 		r.peerLoadReport(e)
 	case QuotaShare:
 		r.quotaShare = QuotaShare{e.Fraction, r.now + e.ValidFor}
--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -63,8 +63,9 @@
 	// minCachedTokensForSample is the number of expected cached tokens beyond which a prefill is a sample of the cache
 	// hit ratio. Raising it gives fewer and better samples.
 	minCachedTokensForSample = 200
-	// outlierMultiple and outlierMarginMS bound a sample: to this multiple of the model's value plus this margin.
-	// Raising either lets single outliers move the models more.
+	// outlierMultiple and outlierMarginMS bound a sample: to this multiple of the model's value plus this margin. A
+	// prefill that is faster than the model's value by as much is no sample. Raising either lets single outliers move the
+	// models more.
 	outlierMultiple = 4
 	outlierMarginMS = 100
 )
@@ -85,6 +86,9 @@
 	prefixExpiryMultiple = 2
 	// sweepInterval is the time between sweeps of the prefix table. Raising it takes more memory and less time.
 	sweepInterval = 5 * time.Second
+	// maxPrefixEntries bounds the prefix table, at some 200 bytes an entry. Raising it remembers more prefixes of a router
+	// that has more requests than this within the time for which a prefix is remembered.
+	maxPrefixEntries = 1 << 16
 	// maxPrefixShare is the largest part of a replica's even share of requests that one prefix may take at one replica.
 	// Raising it gives a prefix fewer replicas.
 	maxPrefixShare = 0.3
