--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -8,9 +8,9 @@
 const (
 	// latencyHeadroom is the fraction of its latency objective that a request's estimate may take (the paper's
 	// headroom). Raising it admits more requests, of which more are late.
-	latencyHeadroom = 0.5
+	latencyHeadroom = 0.7
 	// criticalHeadroom is the same for critical classes. Raising it lets a flood of critical requests make all late.
-	criticalHeadroom = 0.75
+	criticalHeadroom = 0.9
 	// overQuotaDivisor divides the budget of a request beyond its tenant's quota. Raising it rejects more of these.
 	overQuotaDivisor = 2
 	// quotaBurstSpan is the time for whose part of a tenant's quota requests may arrive at once. Raising it tolerates
