--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -8,9 +8,9 @@
 const (
 	// latencyHeadroom is the fraction of its latency objective that a request's estimate may take (the paper's
 	// headroom). Raising it admits more requests, of which more are late.
-	latencyHeadroom = 0.7
+	latencyHeadroom = 0.5
 	// criticalHeadroom is the same for critical classes. Raising it lets a flood of critical requests make all late.
-	criticalHeadroom = 0.9
+	criticalHeadroom = 0.75
 	// overQuotaDivisor divides the budget of a request beyond its tenant's quota. Raising it rejects more of these.
 	overQuotaDivisor = 2
 	// quotaBurstSpan is the time for whose part of a tenant's quota requests may arrive at once. Raising it tolerates
@@ -165,7 +165,7 @@
 	pollCandidateCount = 2
 	// maxPollRounds is how often replicas are polled for one prefill while all that were polled are busy. Raising it
 	// spreads popular prefixes further, and delays requests while all replicas are busy.
-	maxPollRounds = 3
+	maxPollRounds = 2
 	// pollTimeout is the time that a request waits for the answers. Raising it delays requests behind dead replicas.
 	pollTimeout = 40 * ms
 	// loadMaxAge is the age up to which a report is used. Raising it polls less and herds more.
