--- a/routing/reconfigure.go
+++ b/routing/reconfigure.go
@@ -15,9 +15,8 @@
 // Reconfigure replaces the configuration at time now, while requests are open. The new classes must begin with the
 // ones in force, unchanged, so that an index means the same class for every open request; classes that clients may no
 // longer name stay in the list. An open request may make no more attempts than the smallest limit that was in force
-// since it arrived. The zone, the tenants' quotas, the kinds, the budgets and ObservePrefills stay as they
-// were. An error of
-// Config.Validate or a change of the classes in force leaves the configuration as it is.
+// since it arrived. The zone, the tenants' quotas, the kinds, the budgets and ObservePrefills stay as they were. An error
+// of Config.Validate or a change of the classes in force leaves the configuration as it is.
 func (r *Router) Reconfigure(now time.Duration, cfg Config) error {
 	if err := cfg.Validate(); err != nil {
 		return err
