--- a/review/testdata/rig/servers.go
+++ b/review/testdata/rig/servers.go
@@ -141,7 +141,8 @@
 	if reset {
 		c.resetOne = false
 	}
-	if hasState && !c.hasRun(id, s.zone) { // the replicas of a zone discard a request that comes again under its id
+	known := c.hasRun(id, s.zone) // the replicas of a zone discard a request that comes again under its id
+	if hasState && !known {
 		c.runs = append(c.runs, run)
 	}
 	c.mu.Unlock()
@@ -150,7 +151,11 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	c.rig.note("%s in %s: runs %s, %q", s.name, s.zone, id, text)
+	if known {
+		c.rig.note("%s in %s: answers %s again, which the zone has run", s.name, s.zone, id)
+	} else {
+		c.rig.note("%s in %s: runs %s, %q", s.name, s.zone, id, text)
+	}
 	time.Sleep(50 * time.Millisecond)
 	if reset {
 		c.rig.note("%s: the connection of %s is reset", s.name, id)
