--- a/internal/app/admin_test.go
+++ b/internal/app/admin_test.go
@@ -70,7 +70,8 @@
 		testutil.Eventually(t, "the reload", func() bool { return strings.Count(out.String(), "event=reload") > n })
 	}
 	added := strings.Replace(configText(listen, discovery, list), `{"name":"frage"`,
-		`{"name":"neu","effect":"retryable","importance":1,"promiseMs":900,"hardLimitMs":4000},{"name":"frage"`, 1)
+		`{"name":"neu","effect":"retryable","group":"all","windowMs":5000,"importance":1,"promiseMs":900,"hardLimitMs":4000},{"name":"frage"`, 1)
+	added = strings.Replace(added, `[40000,40000]`, `[40000,40000,40000]`, 1)
 	invalid := strings.Replace(strings.Replace(configText(listen, "127.0.0.1:1", list), `"hardLimitMs":5000`,
 		`"hardLimitMs":0`, 1), `"name":"frage"`, `"name":"frage2"`, 1)
 	if send("neu") != 400 {
--- a/internal/app/application.go
+++ b/internal/app/application.go
@@ -94,7 +94,7 @@
 	a.listeners.bodies = semaphore.NewWeighted(limits.bodyBytes())
 	a.drain = operatorDrain{&a.listeners}
 	a.reloader = reloader{
-		path: o.configPath, classes: classes, settings: &a.settings,
+		path: o.configPath, config: cfg, classes: classes, settings: &a.settings,
 		dispatcher: a.dispatcher, frontendHandler: a.frontendHandler, watcher: a.watcher,
 	}
 	return a, nil
--- a/internal/app/deployment_names_test.go
+++ b/internal/app/deployment_names_test.go
@@ -58,11 +58,11 @@
 // deployments.
 const settingsWithUnusualNames = `{"az":1,"balancers":7,"zones":["cellar","attic"],"kinds":["pen","both-ways","lens"],
 "classes":[{"name":"sketch","effect":"dedup","group":"cell","windowMs":700,"importance":7,"promiseMs":410,"hardLimitMs":2300},
-{"name":"inventory","effect":"fragile","importance":0.3,"promiseMs":950,"hardLimitMs":3700},
-{"name":"gossip","effect":"retryable","importance":1.1,"promiseMs":270,"hardLimitMs":1900}],
+{"name":"inventory","effect":"fragile","group":"zone","windowMs":900,"importance":0.3,"promiseMs":950,"hardLimitMs":3700},
+{"name":"gossip","effect":"retryable","group":"all","windowMs":0,"importance":1.1,"promiseMs":270,"hardLimitMs":1900}],
 "discovery":"ask","parties":[{"name":"north-wing","quotaPerS":11},{"name":"garden","quotaPerS":3}],
-"familyInfo":{"aimUsPer1000PromptTokens":[13000,21000,7000],"dutyByKind":["write","both","read"],"releaseWithinMs":220},
-"limits":{"cancelling":false,"connIdleMs":4100,"connectTimeoutMs":90,"maxRetryAfterMs":130,"mostTries":3,"probing":false,"retryAfter":true},
+"familyInfo":{"aimUsPer1000PromptTokens":[13000,21000,7000],"dutyByKind":["write","both","read"],"localRead":false,"releaseWithinMs":220},
+"limits":{"cancelling":false,"connIdleMs":4100,"connectTimeoutMs":90,"maxRetryAfterMs":130,"mostHeld":700,"mostTries":3,"probing":false,"retryAfter":true},
 "rules":{"coldFrom":0.51,"coldMs":6100,"fallMultiple":1.7,"stopSendingWithinMs":330,"answerSlackMs":3},
 "telemetry":{"fields":["x1","inflight"],"how":"piggyback"}}`
 
--- a/internal/app/golden_fingerprint_test.go
+++ b/internal/app/golden_fingerprint_test.go
@@ -6,7 +6,6 @@
 	"testing"
 
 	"rampspread/internal/config"
-	"rampspread/internal/testutil"
 )
 
 // goldenSettings has every field of the settings set, in the order in which the fields are written.
@@ -58,6 +57,15 @@
 	}
 }
 
+// goldenUsualSettings has the fields set that the settings of most deployments set.
+const goldenUsualSettings = `{"az":0,"balancers":1,"zones":["wien"],"kinds":["prefill","decode-a"],
+"classes":[{"name":"frage","effect":"retryable","importance":1,"promiseMs":1200,"hardLimitMs":5000},
+{"name":"meldung","effect":"fragile","importance":2,"promiseMs":3000,"hardLimitMs":15000}],
+"familyInfo":{"aimUsPer1000PromptTokens":[40000,40000],"dutyByKind":["read","write"],"releaseWithinMs":300},
+"limits":{"cancelling":true,"connIdleMs":15000,"connectTimeoutMs":250,"maxRetryAfterMs":500,"mostTries":4,"retryAfter":true},
+"rules":{"coldFrom":0.34,"coldMs":13000,"fallMultiple":2.5},
+"telemetry":{"fields":["util","queue","x0"],"how":"pull"}}`
+
 // Members of different versions compare the digests of their settings, so the digest of given settings must not change.
 // One of the settings here has every field set, one is like the settings of most deployments, and one has no field set.
 // The zone index does not affect the digest.
@@ -70,7 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	usual, err := config.ParseSettings([]byte(testutil.SettingsJSON))
+	usual, err := config.ParseSettings([]byte(goldenUsualSettings))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/app/main_test.go
+++ b/internal/app/main_test.go
@@ -25,6 +25,7 @@
 	t.Setenv("LB_CONFIG", "")
 	good := writeFile(t, "good.json", configText("127.0.0.1:1", "127.0.0.1:2", `{"generation":1,"reset":true,"instances":[]}`))
 	chat := writeFile(t, "chat.json", fmt.Sprintf(chatConfigFormat, "127.0.0.1:3"))
+	withoutGroup := writeFile(t, "group.json", strings.Replace(configText("a:1", "b:2", "{}"), `"fragile","group":"all"`, `"dedup"`, 1))
 	for _, c := range []struct {
 		args string
 		want string // part of the output or, after a leading "!", of the error
@@ -51,7 +52,10 @@
 		{"serve -config " + good + " -fleet /nowhere", "!no such file"},
 		{"fleet members -at 127.0.0.1:1", "!refused"},
 		{"check -config " + writeFile(t, "cut.json", "{"), "!unexpected end"},
-		{"check -config " + writeFile(t, "empty.json", "{}"), "!missing port"},
+		{"check -config " + writeFile(t, "empty.json", "{}"), "!missing settings"},
+		{"check -config " + writeFile(t, "listen.json", configText("", "b:2", "{}")), "!listen: missing port"},
+		{"check -config " + withoutGroup, "!missing settings.classes[1].group"},
+		{"serve -config " + withoutGroup, "!missing settings.classes[1].group"},
 		{"check -config " + writeFile(t, "seed.json", strings.Replace(configText("a:1", "b:2", "{}"), "8c1f", "zz", 1)), "!seed"},
 		{"check -config " + writeFile(t, "class.json", strings.Replace(configText("a:1", "b:2", "{}"), "fragile", "x", 1)), "!unknown effect"},
 	} {
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -19,10 +19,11 @@
 	"rampspread/internal/frontend"
 )
 
-// reloader applies a changed configuration file while the process runs. It owns the table of classes, which only the
-// goroutine of run uses.
+// reloader applies a changed configuration file while the process runs. It owns the configuration in force and the
+// table of classes, which only the goroutine of run uses.
 type reloader struct {
 	path            string // path of the configuration file
+	config          *config.Config
 	classes         config.Classes
 	settings        *activeSettings
 	dispatcher      *dispatch.Dispatcher
@@ -49,6 +50,9 @@
 // start.
 func (r *reloader) reload(ctx context.Context) {
 	cfg, err := readConfig(r.path, nil)
+	if err == nil {
+		err = cfg.RequireKeysOf(r.config)
+	}
 	if err == nil {
 		err = cfg.Settings.Validate()
 	}
@@ -64,7 +68,7 @@
 		slog.Warn("reload_failed", "err", err)
 		return
 	}
-	r.classes = next
+	r.config, r.classes = cfg, next
 	r.settings.set(&cfg.Settings)
 	r.frontendHandler.SetClasses(next)
 	names := slices.Sorted(maps.Keys(next.IndexByName))
--- a/internal/config/classes_test.go
+++ b/internal/config/classes_test.go
@@ -55,7 +55,7 @@
 		t.Fatal(err)
 	}
 	next := strings.Replace(baseSettings, `"effect":"fragile"`, `"effect":"retryable"`, 1) // meldung is idempotent now
-	next = strings.Replace(next, `{"name":"frage"`, `{"name":"neu","effect":"dedup","importance":1,"promiseMs":900,"hardLimitMs":4000},{"name":"frage"`, 1)
+	next = strings.Replace(next, `{"name":"frage"`, `{"name":"neu","effect":"dedup","group":"all","importance":1,"promiseMs":900,"hardLimitMs":4000},{"name":"frage"`, 1)
 	next = strings.Replace(next, `"mostTries":4`, `"mostTries":3`, 1)
 	got, err := start.Reconfigure(mustParse(t, next))
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,8 @@
 	Limits           ResourceLimits  `json:"Limits"`
 	InitialEndpoints json.RawMessage `json:"Known"` // endpoint list at the start, in discovery's format
 	Settings         Settings        `json:"Settings"`
+
+	absentKeys []string // paths of the keys outside the settings that the file lacks; see RequireKeysOf
 }
 
 // ResourceLimits holds the resources that the platform lets the process use. A value of 0 selects the default.
@@ -30,12 +32,16 @@
 	Sockets  int     `json:"Sockets"`
 }
 
-// ParseConfig decodes a dispatcher's configuration. It does not check the values; see Validate.
+// ParseConfig decodes a dispatcher's configuration. It returns an error if the settings lack a key; see
+// Settings.RequireKeys. It does not check the values; see Validate.
 func ParseConfig(text []byte) (*Config, error) {
 	var c Config
 	if err := json.Unmarshal(text, &c); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	if err := c.checkKeys(text); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
 	return &c, nil
 }
 
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -14,7 +14,6 @@
 		"fragile":   routing.NonIdempotent,
 	}
 	dedupScopeByName = map[string]routing.DedupScope{
-		"":     routing.DedupScopeAll,
 		"all":  routing.DedupScopeAll,
 		"zone": routing.DedupScopeZone,
 		"cell": routing.DedupScopeCell,
@@ -26,8 +25,7 @@
 	}
 )
 
-// Router translates the settings into the configuration of a routing.Router. An absent setting has the meaning that the
-// wire protocol gives to its absence.
+// Router translates the settings into the configuration of a routing.Router.
 func (s *Settings) Router() (routing.Config, error) {
 	cfg := routing.Config{
 		Zone: s.ZoneIndex, Routers: s.Dispatchers, MaxAttempts: s.Limits.MaxAttempts,
@@ -65,6 +63,9 @@
 	c := s.Classes[index]
 	idempotency, ok := idempotencyByName[c.Idempotency]
 	scope, known := dedupScopeByName[c.DedupScope]
+	if c.DedupScope == "" && idempotency != routing.IdempotentByKey {
+		known = true // the scope has no meaning for the other classes
+	}
 	if !ok || !known {
 		return routing.Class{}, fmt.Errorf("class %d: unknown effect %q or group %q", index, c.Idempotency, c.DedupScope)
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -12,7 +12,8 @@
 )
 
 // Settings holds those settings of a deployment that the dispatcher uses. Unknown keys are ignored, and keys match in
-// any case. Fields whose names end in Ms are in milliseconds.
+// any case. Fields whose names end in Ms are in milliseconds. The text must have the key of each field; see
+// RequireKeys.
 //
 // Members of a fleet compare digests of this type's JSON, even if they run different versions of the program. The tags
 // and the order of the fields must therefore not change; the Go names of the fields may.
@@ -34,7 +35,7 @@
 type ClassSettings struct {
 	Name            string  `json:"Name"`
 	Idempotency     string  `json:"Effect"`     // retryable, dedup or fragile
-	DedupScope      string  `json:"Group"`      // replicas that deduplicate together: zone, cell or all; "" means all
+	DedupScope      string  `json:"Group"`      // replicas that deduplicate together: zone, cell or all
 	Weight          float64 `json:"Importance"` // weight of one request relative to other classes
 	TTFTObjectiveMs float64 `json:"PromiseMs"`  // target for the time to first token
 	DeadlineMs      float64 `json:"HardLimitMs"`
@@ -83,7 +84,8 @@
 	Fields []string `json:"Fields"`
 }
 
-// ParseSettings decodes the settings of a deployment. It does not check the values; see Validate.
+// ParseSettings decodes the settings of a deployment. It does not check which keys the text has, see RequireKeys, nor
+// the values, see Validate.
 func ParseSettings(text []byte) (*Settings, error) {
 	var s Settings
 	if err := json.Unmarshal(text, &s); err != nil {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -8,7 +8,7 @@
 // Validate checks the settings of a reload before any of them is applied: a malformed or truncated file must not leave
 // a dispatcher with half of its rules. Each class must have a unique name, and a deadline and a latency objective over
 // 0. The number of attempts must be over 0. There must be kinds, and a role for each of them. A start requires less of
-// the settings; Config.Validate checks that.
+// the values; Config.Validate checks that. That no key is missing is checked by ParseConfig, before both.
 func (s *Settings) Validate() error {
 	if err := s.validateClasses(); err != nil {
 		return err
--- a/internal/faultbench/settings.go
+++ b/internal/faultbench/settings.go
@@ -26,7 +26,7 @@
 	for _, k := range p.Kinds {
 		kinds, stages = append(kinds, k.Name), append(stages, map[bool]string{false: "read", true: "write"}[k.Decode])
 	}
-	var tenants []map[string]any
+	tenants := []map[string]any{} // an empty list, since null counts as absent
 	for _, name := range p.Tenants {
 		tenants = append(tenants, map[string]any{"name": name, "quotaPerS": r.scenario.Rate / float64(len(p.Tenants)), "fraction": 1 / float64(len(p.Tenants))})
 	}
@@ -35,7 +35,7 @@
 		telemetry = map[string]any{"fields": []string{"util", "queue", "x0"}, "how": "pull"}
 	}
 	return map[string]any{
-		"az": d % max(len(p.Zones), 1), "me": d, "zones": p.Zones, "classes": classes, "parties": tenants,
+		"az": d % max(len(p.Zones), 1), "me": d, "zones": append([]string{}, p.Zones...), "classes": classes, "parties": tenants,
 		"balancers": cmp.Or(r.options.AdvertisedDispatchers, p.FleetSize, len(r.dispatchers)),
 		"kinds":     kinds, "discovery": map[bool]string{false: "ask", true: "push"}[p.EndpointsPushed], "family": "twostage",
 		"familyInfo": map[string]any{"aimUsPer1000PromptTokens": objectives, "dutyByKind": stages,
