--- a/cmd/simhost/host.go
+++ b/cmd/simhost/host.go
@@ -88,6 +88,9 @@
 	if err != nil {
 		return fmt.Errorf("router %d: %w", e.Router, err)
 	}
+	if err := settings.RequireKeys(e.Conf); err != nil {
+		return fmt.Errorf("router %d: %w", e.Router, err)
+	}
 	cfg, err := settings.Router()
 	if err != nil {
 		return fmt.Errorf("router %d: %w", e.Router, err)
--- a/cmd/simhost/host_test.go
+++ b/cmd/simhost/host_test.go
@@ -13,13 +13,19 @@
 	"rampspread/routing"
 )
 
+// classJSON is the only class of settingsJSON.
+const classJSON = `{"name": "question", "effect": "retryable", "group": "all", "importance": 1, "promiseMs": 1000,
+	"hardLimitMs": 4000, "windowMs": 0}`
+
 // settingsJSON holds the settings of each instance.
-const settingsJSON = `{"az": 0, "balancers": 2,
-	"classes": [{"effect": "retryable", "group": "all", "importance": 1, "promiseMs": 1000}],
-	"familyInfo": {"dutyByKind": ["read", "write"], "releaseWithinMs": 500,
+const settingsJSON = `{"az": 0, "balancers": 2, "discovery": "push", "kinds": ["scan", "compose"], "parties": [], "zones": [],
+	"classes": [` + classJSON + `],
+	"familyInfo": {"dutyByKind": ["read", "write"], "releaseWithinMs": 500, "localRead": false,
 		"aimUsPer1000PromptTokens": [60000], "tokensByKind": [200000, 150000]},
-	"limits": {"mostTries": 5, "cancelling": true, "retryAfter": true, "maxRetryAfterMs": 1000},
-	"rules": {"coldFrom": 0.3, "coldMs": 9000, "fallMultiple": 2.5, "tipAfterMs": 3000}}`
+	"limits": {"mostTries": 5, "cancelling": true, "retryAfter": true, "maxRetryAfterMs": 1000, "connIdleMs": 15000,
+		"connectTimeoutMs": 250, "mostHeld": 20000, "probing": false},
+	"rules": {"coldFrom": 0.3, "coldMs": 9000, "fallMultiple": 2.5, "tipAfterMs": 3000, "answerSlackMs": 8, "stopSendingWithinMs": 500},
+	"telemetry": {"fields": []}}`
 
 // directoryEvents returns the event that defines a directory. Its replicas are alternately prefill and decode replicas.
 func directoryEvents(bank uint16, ids ...uint32) []any {
@@ -144,7 +150,8 @@
 		"unknown list number 9":      append(append(directoryEvents(1, 50), startEvents(3)...), simcodec.Fleet{Router: 3, Bank: 9}),
 		"unknown outcome 99":         append(append(directoryEvents(1, 50), startEvents(3)...), simcodec.Response{Router: 3, RC: 99}),
 		"settings":                   {simcodec.Init{Router: 3, Conf: []byte("{")}},
-		"needs a class":              {simcodec.Init{Router: 3, Conf: []byte("{}")}},
+		"missing settings.az":        {simcodec.Init{Router: 3, Conf: []byte("{}")}},
+		"needs a class":              {simcodec.Init{Router: 3, Conf: []byte(strings.Replace(settingsJSON, classJSON, "", 1))}},
 	} {
 		batch, err := simcodec.AppendBatch(nil, simcodec.Batch{Number: 1, Events: events})
 		if err != nil {
