--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"rampspread/internal/hostos"
 )
 
@@ -22,8 +24,6 @@
 	// After a failed accept, the next one waits for the backoff, which doubles with each failure up to maxBackoff.
 	initialBackoff = time.Millisecond
 	maxBackoff     = 50 * time.Millisecond
-	// maxBacklogAccept is the longest duration of an accept whose connection was already waiting in the backlog.
-	maxBacklogAccept = time.Millisecond
 )
 
 // unusableSocketErrors are the errors after which no later accept can succeed, since the listening socket itself is
@@ -34,16 +34,21 @@
 type Listener struct {
 	net.Listener
 	machine  hostos.System
+	socket   syscall.RawConn // the listening socket; nil if the inner listener has none
 	failures atomic.Int64
 
 	// failingSince is when accepts began to fail; connections that are accepted now may have waited in the backlog
-	// since then. It is zero if no accept failed, or once a connection was accepted that had not waited in the backlog.
+	// since then. It is zero if no accept failed, or once the backlog was empty.
 	failingSince time.Time
 }
 
 // New returns a Listener that accepts the connections of inner.
 func New(inner net.Listener, machine hostos.System) *Listener {
-	return &Listener{Listener: inner, machine: machine}
+	l := &Listener{Listener: inner, machine: machine}
+	if conn, ok := inner.(syscall.Conn); ok {
+		l.socket, _ = conn.SyscallConn() // fails if the listener is closed, which Accept reports
+	}
+	return l
 }
 
 // Failures returns the number of accepts that failed.
@@ -52,11 +57,11 @@
 // Accept implements net.Listener. Only one goroutine may accept at a time.
 func (l *Listener) Accept() (net.Conn, error) {
 	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		if !l.failingSince.IsZero() && !l.hasBacklog() {
+			l.failingSince = time.Time{}
+		}
 		started := time.Now()
 		conn, err := l.acceptOnce()
-		if err == nil && time.Since(started) > maxBacklogAccept {
-			l.failingSince = time.Time{} // the backlog was empty
-		}
 		if err == nil || isPermanent(err) {
 			return conn, err // not wrapped, since net/http and gRPC check the error's type
 		}
@@ -79,6 +84,22 @@
 	return time.Since(l.failingSince)
 }
 
+// hasBacklog reports whether a connection is waiting to be accepted. It returns false if the listener has no socket.
+func (l *Listener) hasBacklog() (waiting bool) {
+	if l.socket == nil {
+		return false
+	}
+	err := l.socket.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		for errors.Is(err, unix.EINTR) {
+			n, err = unix.Poll(fds, 0)
+		}
+		waiting = err != nil || n > 0 // after an error a connection may be waiting
+	})
+	return err == nil && waiting
+}
+
 func (l *Listener) acceptOnce() (net.Conn, error) {
 	if err := l.machine.BeforeCall(hostos.Accept); err != nil {
 		return nil, &net.OpError{Op: "accept", Net: l.Addr().Network(), Addr: l.Addr(), Err: err}
--- a/internal/frontend/deadline_test.go
+++ b/internal/frontend/deadline_test.go
@@ -20,7 +20,7 @@
 
 // stalledListener is a listener whose accepts fail until a given time.
 type stalledListener struct {
-	net.Listener
+	*net.TCPListener
 	until time.Time
 }
 
@@ -28,7 +28,7 @@
 	if time.Now().Before(l.until) {
 		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", syscall.ENOBUFS)}
 	}
-	return l.Listener.Accept()
+	return l.TCPListener.Accept()
 }
 
 // The time that a request waits in the backlog while accepts fail counts against its deadline, so the replica must be
@@ -49,7 +49,7 @@
 	s := &http.Server{}
 	limiter.Attach(s)
 	sentAt := time.Now()
-	go s.Serve(limiter.Listen(&stalledListener{listener, sentAt.Add(stall)}, maxConns, hostos.Real()))
+	go s.Serve(limiter.Listen(&stalledListener{listener.(*net.TCPListener), sentAt.Add(stall)}, maxConns, hostos.Real()))
 	defer s.Close()
 	const slow = 2 // the number of the request whose last bytes come after the stall
 	requestText := func(number int) string {
