--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -49,19 +49,8 @@
 // changes nothing. Limits, telemetry, zones, kinds, tenants and the chat frontend's file are read only at the next
 // start.
 func (r *reloader) reload(ctx context.Context) {
-	cfg, err := readConfig(r.path, nil)
-	if err == nil {
-		err = cfg.RequireKeysOf(r.config)
-	}
-	if err == nil {
-		err = cfg.Settings.Validate()
-	}
-	var next config.Classes
-	if err == nil {
-		next, err = r.classes.Reconfigure(&cfg.Settings)
-	}
+	cfg, next, err := r.read()
 	if err == nil {
-		next.Config.CanPollLoad = cfg.Settings.Limits.LoadPolling
 		err = r.dispatcher.Reconfigure(ctx, next.Config)
 	}
 	if err != nil {
@@ -77,6 +66,27 @@
 	r.watcher.MoveTo(cfg.Discovery)
 }
 
+// read reads and checks the configuration file, and returns the table of classes under its settings. It changes
+// nothing.
+func (r *reloader) read() (*config.Config, config.Classes, error) {
+	cfg, err := readConfig(r.path, nil)
+	if err != nil {
+		return nil, config.Classes{}, err
+	}
+	if err := cfg.RequireKeysOf(r.config); err != nil {
+		return nil, config.Classes{}, err
+	}
+	if err := cfg.Settings.Validate(); err != nil {
+		return nil, config.Classes{}, err
+	}
+	next, err := r.classes.Reconfigure(&cfg.Settings)
+	if err != nil {
+		return nil, config.Classes{}, err
+	}
+	next.Config.CanPollLoad = cfg.Settings.Limits.LoadPolling
+	return cfg, next, nil
+}
+
 // activeSettings holds the values of the settings in force that the process itself uses. A reload changes them; any
 // goroutine may read them.
 type activeSettings struct {
