--- a/internal/app/reload_keys_test.go
+++ b/internal/app/reload_keys_test.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -11,61 +10,9 @@
 	"testing"
 
 	"rampspread/internal/testutil"
+	"rampspread/internal/testutil/jsonkeys"
 )
 
-// keyPaths returns the paths of the keys of an object, and of the objects and lists in it that are not among the leaves.
-func keyPaths(value any, path string, leaves map[string]bool) (paths []string) {
-	switch v := value.(type) {
-	case map[string]any:
-		for key := range v {
-			keyPath := strings.TrimPrefix(path+"."+key, ".")
-			paths = append(paths, keyPath)
-			if !leaves[keyPath] {
-				paths = append(paths, keyPaths(v[key], keyPath, leaves)...)
-			}
-		}
-	case []any:
-		for i, element := range v {
-			paths = append(paths, keyPaths(element, fmt.Sprintf("%s[%d]", path, i), leaves)...)
-		}
-	}
-	return paths
-}
-
-// deleteKey deletes the key at a path from a tree of maps and slices.
-func deleteKey(value any, path, without string) {
-	switch v := value.(type) {
-	case map[string]any:
-		for key := range v {
-			keyPath := strings.TrimPrefix(path+"."+key, ".")
-			if keyPath == without {
-				delete(v, key)
-			} else {
-				deleteKey(v[key], keyPath, without)
-			}
-		}
-	case []any:
-		for i, element := range v {
-			deleteKey(element, fmt.Sprintf("%s[%d]", path, i), without)
-		}
-	}
-}
-
-// withoutKey returns the text of a JSON object without the key at a path.
-func withoutKey(t *testing.T, text, path string) string {
-	t.Helper()
-	var object map[string]any
-	if err := json.Unmarshal([]byte(text), &object); err != nil {
-		t.Fatal(err)
-	}
-	deleteKey(object, "", path)
-	changed, err := json.Marshal(object)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(changed)
-}
-
 // zoneRuns records in which zones the requests of a test have run.
 type zoneRuns struct {
 	mu    sync.Mutex
@@ -110,6 +57,7 @@
 // without a class's group a request that may have run in one zone ran again in another. Such a file must change
 // nothing, whichever key is missing; only a key that the program does not read may be absent.
 func TestReloadRejectsFileWithoutAKey(t *testing.T) {
+	const keyThatIsNotRead = "settings.telemetry.how"
 	runs := &zoneRuns{zones: map[string]map[string]bool{}}
 	prefill := testutil.NewReplica(t, testutil.ServePrefill)
 	first, second := testutil.NewReplica(t, runs.script("wien")), testutil.NewReplica(t, runs.script("linz"))
@@ -156,24 +104,24 @@
 	}
 	requestsStayInOneZone("start")
 	changed := strings.Replace(whole, `"mostTries":6`, `"mostTries":5`, 1)
-	var object any
-	if err := json.Unmarshal([]byte(changed), &object); err != nil {
-		t.Fatal(err)
-	}
-	paths := keyPaths(object, "", map[string]bool{"known": true})
-	for _, path := range paths {
-		if path == "settings.telemetry.how" {
-			continue // not read
+	left := 0
+	for _, path := range jsonkeys.Paths(t, changed) {
+		if path == keyThatIsNotRead || strings.HasPrefix(path, "known.") {
+			continue
 		}
-		if event := reload(withoutKey(t, changed, path)); !strings.Contains(event, "event=reload_failed") || !strings.Contains(event, path[strings.LastIndex(path, ".")+1:]) {
+		left++
+		key := path[strings.LastIndex(path, ".")+1:]
+		event := reload(jsonkeys.Without(t, changed, path))
+		if !strings.Contains(event, "event=reload_failed") || !strings.Contains(event, key) {
 			t.Errorf("without %s: %s", path, event)
 		}
 	}
-	if len(paths) < 50 {
-		t.Errorf("only %d keys were left out", len(paths))
+	const least = 50 // 9 keys of the file and 43 of the settings
+	if left < least {
+		t.Errorf("only %d keys were left out", left)
 	}
 	requestsStayInOneZone("refused")
-	if event := reload(withoutKey(t, changed, "settings.telemetry.how")); !strings.Contains(event, "event=reloaded") ||
+	if event := reload(jsonkeys.Without(t, changed, keyThatIsNotRead)); !strings.Contains(event, "event=reloaded") ||
 		!strings.Contains(event, "attempts=5") {
 		t.Errorf("a whole file: %s", event)
 	}
--- a/internal/config/keys_test.go
+++ b/internal/config/keys_test.go
@@ -2,99 +2,64 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"slices"
 	"strings"
 	"testing"
-)
-
-// decodeObject returns a JSON object as a tree of maps and slices.
-func decodeObject(t *testing.T, text []byte) map[string]any {
-	t.Helper()
-	var object map[string]any
-	if err := json.Unmarshal(text, &object); err != nil {
-		t.Fatal(err)
-	}
-	return object
-}
 
-func encodeObject(t *testing.T, object map[string]any) []byte {
-	t.Helper()
-	text, err := json.Marshal(object)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return text
-}
+	"rampspread/internal/testutil/jsonkeys"
+)
 
-// visitKeys calls visit for each key of an object and of the objects in it.
-func visitKeys(value any, path string, visit func(object map[string]any, key, path string)) {
-	switch v := value.(type) {
-	case map[string]any:
-		for key := range v {
-			keyPath := strings.TrimPrefix(path+"."+key, ".")
-			visitKeys(v[key], keyPath, visit)
-			visit(v, key, keyPath)
-		}
-	case []any:
-		for i, element := range v {
-			visitKeys(element, fmt.Sprintf("%s[%d]", path, i), visit)
-		}
-	}
+// replaceAt returns a function for jsonkeys.With that replaces the value at one path.
+func replaceAt(wantPath string, replacement any) func(string, any) (any, bool) {
+	return func(path string, _ any) (any, bool) { return replacement, path == wantPath }
 }
 
 // A file that lacked a setting was taken as if the setting were zero: without a class's group, requests ran again at
 // replicas that do not discard them. Each setting that the file lacks, or whose value is null, is an error.
 func TestConfigLacksAKey(t *testing.T) {
-	whole := readGolden(t, "config.json")
-	visited := 0
-	visitKeys(decodeObject(t, whole)["settings"], "settings", func(_ map[string]any, _, wantPath string) {
-		for _, null := range []bool{false, true} {
-			config := decodeObject(t, whole)
-			visitKeys(config, "", func(object map[string]any, key, path string) {
-				if path != wantPath {
-					return
-				}
-				if null {
-					object[key] = nil
-				} else {
-					delete(object, key)
-				}
-			})
-			_, err := ParseConfig(encodeObject(t, config))
-			if want := "config: missing " + wantPath; err == nil || err.Error() != want {
-				t.Errorf("%s absent, as null %v: error %v, want %s", wantPath, null, err, want)
+	whole := string(readGolden(t, "config.json"))
+	left := 0
+	for _, path := range jsonkeys.Paths(t, whole) {
+		if path != "settings" && !strings.HasPrefix(path, "settings.") {
+			continue
+		}
+		left++
+		for form, text := range map[string]string{
+			"absent": jsonkeys.Without(t, whole, path), "null": jsonkeys.With(t, whole, replaceAt(path, nil)),
+		} {
+			if _, err := ParseConfig([]byte(text)); err == nil || err.Error() != "config: missing "+path {
+				t.Errorf("%s is %s: error %v", path, form, err)
 			}
 		}
-		visited++
-	})
-	if visited < 50 { // 11 keys of the settings, 7 of each class, 2 of each tenant and those of the other objects
-		t.Errorf("only %d keys were left out", visited)
+	}
+	const least = 50 // 11 keys of the settings, 7 of each class, 2 of each tenant and those of the other objects
+	if left < least {
+		t.Errorf("only %d keys were left out", left)
 	}
 	_, err := ParseConfig([]byte(`{"settings":{}}`))
 	if err == nil || !strings.HasSuffix(err.Error(), " and 3 more") {
-		t.Errorf("no settings at all: error %v", err)
+		t.Errorf("no setting at all: error %v", err)
 	}
 }
 
 // A setting that is zero, false or an empty list is not absent.
 func TestConfigHasZeroValues(t *testing.T) {
-	config := decodeObject(t, readGolden(t, "config.json"))
-	visitKeys(config["settings"], "settings", func(object map[string]any, key, path string) {
-		switch object[key].(type) {
+	text := jsonkeys.With(t, string(readGolden(t, "config.json")), func(path string, old any) (any, bool) {
+		if !strings.HasPrefix(path, "settings.") || path == "settings.classes" || strings.HasSuffix(path, ".aimUsPer1000PromptTokens") {
+			return nil, false
+		}
+		switch old.(type) {
 		case float64:
-			object[key] = 0
+			return 0, true
 		case bool:
-			object[key] = false
+			return false, true
 		case string:
-			object[key] = ""
+			return "", true
 		case []any:
-			if path != "settings.classes" && path != "settings.familyInfo.aimUsPer1000PromptTokens" {
-				object[key] = []any{}
-			}
+			return []any{}, true
 		}
+		return nil, false
 	})
-	if _, err := ParseConfig(encodeObject(t, config)); err != nil {
+	if _, err := ParseConfig([]byte(text)); err != nil {
 		t.Error(err)
 	}
 }
@@ -102,31 +67,31 @@
 // Keys that the program does not know are ignored, and keys may be in any case. An object that stands twice is decoded
 // twice, so both must be whole.
 func TestConfigKeysOfOtherForms(t *testing.T) {
-	config := decodeObject(t, readGolden(t, "config.json"))
-	settings := config["settings"].(map[string]any)
-	settings["goal"] = map[string]any{"whole": nil}
-	settings["RULES"] = settings["rules"]
-	delete(settings, "rules")
-	if _, err := ParseConfig(encodeObject(t, config)); err != nil {
-		t.Error(err)
-	}
-	settings["rules"] = map[string]any{"coldFrom": 0.5}
-	if _, err := ParseConfig(encodeObject(t, config)); err == nil {
-		t.Error("an object that stands twice, once without its keys, was accepted")
+	whole := string(readGolden(t, "config.json"))
+	for text, isWhole := range map[string]bool{
+		strings.Replace(whole, `"rules":`, `"goal":{"whole":null},"RULES":`, 1):           true,
+		strings.Replace(whole, `"rules":`, `"Rules":{"coldFrom":0.5},"rules":`, 1):        false,
+		strings.Replace(whole, `"settings":`, `"Settings":{"classes":[]},"settings":`, 1): false,
+	} {
+		if text == whole {
+			t.Fatal("nothing was replaced")
+		}
+		if _, err := ParseConfig([]byte(text)); (err == nil) != isWhole {
+			t.Errorf("error %v: %s", err, text)
+		}
 	}
 }
 
 // A class without an entry in the list of objectives would have an objective that does not grow with the prompt.
 func TestConfigLacksAnObjective(t *testing.T) {
-	config := decodeObject(t, readGolden(t, "config.json"))
-	family := config["settings"].(map[string]any)["familyInfo"].(map[string]any)
+	const path = "settings.familyInfo.aimUsPer1000PromptTokens"
 	for objectives, want := range map[string]string{
 		`[71,72,73,74]`: "",
-		`[71,72]`:       "config: missing settings.familyInfo.aimUsPer1000PromptTokens[2]",
-		`[71,null,73]`:  "config: missing settings.familyInfo.aimUsPer1000PromptTokens[1]",
+		`[71,72]`:       "config: missing " + path + "[2]",
+		`[71,null,73]`:  "config: missing " + path + "[1]",
 	} {
-		family["aimUsPer1000PromptTokens"] = json.RawMessage(objectives)
-		if _, err := ParseConfig(encodeObject(t, config)); err == nil && want != "" || err != nil && err.Error() != want {
+		text := jsonkeys.With(t, string(readGolden(t, "config.json")), replaceAt(path, json.RawMessage(objectives)))
+		if _, err := ParseConfig([]byte(text)); err == nil && want != "" || err != nil && err.Error() != want {
 			t.Errorf("objectives %s: error %v, want %q", objectives, err, want)
 		}
 	}
@@ -147,13 +112,8 @@
 // start did not have, a later file need not have either.
 func TestReloadedConfigLacksAKey(t *testing.T) {
 	parse := func(without ...string) *Config {
-		object := decodeObject(t, readGolden(t, "config.json"))
-		visitKeys(object, "", func(object map[string]any, key, path string) {
-			if slices.Contains(without, path) {
-				delete(object, key)
-			}
-		})
-		config, err := ParseConfig(encodeObject(t, object))
+		t.Helper()
+		config, err := ParseConfig([]byte(jsonkeys.Without(t, string(readGolden(t, "config.json")), without...)))
 		if err != nil {
 			t.Fatal(err)
 		}
