--- a/internal/fleet/idempotencyquorum/message.go
+++ b/internal/fleet/idempotencyquorum/message.go
@@ -80,7 +80,7 @@
 // decoder collects the fields of one message.
 type decoder struct {
 	message
-	hasKey, hasDigest bool
+	present protofield.NumberSet // fields that the message has with a valid value
 }
 
 // decode decodes a message. It returns errMalformed if a value is too long or a required field is missing, and the
@@ -108,36 +108,36 @@
 	return d.message, nil
 }
 
-// setBytes sets a length-delimited field, and reports whether its length is within its limit. It ignores a key or
-// digest of the wrong length.
+// setBytes sets a length-delimited field, and reports whether its length is within its limit. A name that is empty, and
+// a key or digest of the wrong length, counts as absent.
 func (d *decoder) setBytes(field protowire.Number, value []byte) (ok bool) {
+	isValid := true
 	switch field {
 	case fieldClaimant:
 		d.attempt.Member = string(value)
-		return len(value) <= maxNameBytes
+		ok, isValid = len(value) <= maxNameBytes, len(value) > 0
 	case fieldReplica:
 		d.replica = string(value)
-		return len(value) <= maxNameBytes
+		ok, isValid = len(value) <= maxNameBytes, len(value) > 0
 	case fieldKey:
-		if len(value) == len(d.key) {
-			d.hasKey = true
-			copy(d.key[:], value)
-		}
+		ok, isValid = true, len(value) == len(d.key)
+		copy(d.key[:], value)
 	case fieldDigest:
-		if len(value) == len(d.digest) {
-			d.hasDigest = true
-			copy(d.digest[:], value)
-		}
+		ok, isValid = true, len(value) == len(d.digest)
+		copy(d.digest[:], value)
 	case fieldAnswer:
-		if len(value) > maxAnswerBytes {
-			return false
-		}
+		ok = len(value) <= maxAnswerBytes
 		d.answer, d.hasAnswer = append([]byte{}, value...), true
+	default:
+		return true
+	}
+	if isValid {
+		d.present.Add(field)
 	}
-	return true
+	return ok
 }
 
-// setNumber sets a varint field. It ignores an unknown vote.
+// setNumber sets a varint field. An unknown vote counts as absent.
 func (d *decoder) setNumber(field protowire.Number, value uint64) {
 	switch field {
 	case fieldKind:
@@ -149,22 +149,27 @@
 	case fieldMaxDuration:
 		d.maxDuration = time.Duration(min(value, uint64(maxDurationBound/time.Microsecond))) * time.Microsecond
 	case fieldVote:
-		if value <= uint64(idempotency.VoteStoreFull) {
-			d.vote = idempotency.Vote(value)
+		if value == 0 || value > uint64(idempotency.VoteStoreFull) {
+			return
 		}
+		d.vote = idempotency.Vote(value)
+	default:
+		return
 	}
+	d.present.Add(field)
 }
 
-// complete reports whether the message has all fields that its kind requires.
+// complete reports whether the message has all fields that its kind requires. A claim that lacked the incarnation or
+// the number of its attempt could be taken for another attempt of its member, and be granted with it.
 func (d *decoder) complete() bool {
-	if d.attempt.Member == "" || !d.hasKey {
+	if !d.present.HasAll(fieldClaimant, fieldIncarnation, fieldSeq, fieldKey) {
 		return false
 	}
 	switch d.kind {
 	case kindClaim:
-		return d.hasDigest
+		return d.present.HasAll(fieldDigest, fieldMaxDuration)
 	case kindVote:
-		return d.replica != "" && d.vote != 0
+		return d.present.HasAll(fieldReplica, fieldVote)
 	case kindResult, kindWithdraw:
 		return true
 	}
--- a/internal/fleet/idempotencyquorum/message_test.go
+++ b/internal/fleet/idempotencyquorum/message_test.go
@@ -41,3 +41,29 @@
 		}
 	})
 }
+
+// A field that a message lacks must not be taken for zero: without their numbers, two attempts of one member would be
+// the same attempt, and a key would be granted to both. Zeros are valid, and only the answer may be absent.
+func TestDecodeRejectsMissingFields(t *testing.T) {
+	attempt := idempotency.Attempt{Member: "n1"}
+	for _, m := range []message{
+		{kind: kindClaim, attempt: attempt},
+		{kind: kindVote, attempt: attempt, replica: "n2", vote: idempotency.VoteAnswered, answer: []byte("a"), hasAnswer: true},
+		{kind: kindResult, attempt: attempt, answer: []byte{}, hasAnswer: true},
+		{kind: kindWithdraw, attempt: attempt},
+	} {
+		encoded := m.encode()
+		if _, err := decode(encoded); err != nil {
+			t.Errorf("kind %d: %v", m.kind, err)
+		}
+		for field := fieldKind; field <= fieldAnswer; field++ {
+			shortened := testutil.WithoutField(t, encoded, field)
+			if len(shortened) == len(encoded) {
+				continue // the kind does not have the field
+			}
+			if _, err := decode(shortened); (err == nil) != (field == fieldAnswer) {
+				t.Errorf("kind %d without field %d: %v", m.kind, field, err)
+			}
+		}
+	}
+}
--- a/internal/protofield/protofield.go
+++ b/internal/protofield/protofield.go
@@ -47,3 +47,20 @@
 func AppendBytes(b []byte, field protowire.Number, value []byte) []byte {
 	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), value)
 }
+
+// NumberSet is a set of field numbers under 64. Its zero value is empty. A decoder collects in it which fields a message
+// had, since a field that is absent otherwise cannot be told from one whose value is zero.
+type NumberSet uint64
+
+// Add adds a number. It ignores numbers of 64 and more.
+func (s *NumberSet) Add(field protowire.Number) { *s |= 1 << uint(field) }
+
+// HasAll reports whether the set has all of the numbers.
+func (s NumberSet) HasAll(fields ...protowire.Number) bool {
+	for _, field := range fields {
+		if s&(1<<uint(field)) == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/state/encoding.go
+++ b/internal/state/encoding.go
@@ -24,6 +24,12 @@
 	fieldAnswer          = 8
 )
 
+// requiredFields are the fields that every record has. A record without the time at which it was written would count as
+// expired, and its key could be granted again.
+var requiredFields = []protowire.Number{
+	fieldMember, fieldIncarnation, fieldSeq, fieldDigest, fieldState, fieldWrittenAt, fieldAttemptDeadline,
+}
+
 const (
 	checksumBytes = 8 // size of the xxhash before a record
 	numberBytes   = 8 // size of an encoded number
@@ -48,9 +54,10 @@
 	return b
 }
 
-// decodeRecord decodes a record that encodeRecord encoded. It returns ErrCorrupt if the checksum is wrong, the name of
-// the member is missing or the state is unknown, and ignores unknown fields.
+// decodeRecord decodes a record that encodeRecord encoded. It returns ErrCorrupt if the checksum is wrong, a field other
+// than the answer is missing, the name of the member is empty or the state is unknown, and ignores unknown fields.
 func decodeRecord(b []byte) (record idempotency.Record, err error) {
+	var present protofield.NumberSet
 	if len(b) < checksumBytes || xxhash.Sum64(b[checksumBytes:]) != binary.BigEndian.Uint64(b) {
 		return record, fmt.Errorf("%w: record has a wrong checksum", ErrCorrupt)
 	}
@@ -60,6 +67,7 @@
 			return record, fmt.Errorf("%w: %w", ErrCorrupt, err)
 		}
 		b = rest
+		present.Add(field.Number)
 		switch field.WireType {
 		case protowire.BytesType:
 			setBytesField(&record, field)
@@ -67,6 +75,9 @@
 			setNumberField(&record, field)
 		}
 	}
+	if !present.HasAll(requiredFields...) {
+		return record, fmt.Errorf("%w: record lacks a field", ErrCorrupt)
+	}
 	if record.State < idempotency.InFlight || record.State > idempotency.Answered || record.Attempt.Member == "" {
 		return record, fmt.Errorf("%w: record has no member or an unknown state", ErrCorrupt)
 	}
