--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -60,13 +60,12 @@
 		if !l.failingSince.IsZero() && !l.hasBacklog() {
 			l.failingSince = time.Time{}
 		}
-		started := time.Now()
 		conn, err := l.acceptOnce()
 		if err == nil || isPermanent(err) {
 			return conn, err // not wrapped, since net/http and gRPC check the error's type
 		}
 		if l.failingSince.IsZero() {
-			l.failingSince = started
+			l.failingSince = time.Now() // not when the accept began, which also waits while no client connects
 		}
 		if l.failures.Add(1) == 1 || backoff == maxBackoff {
 			slog.Warn("accept_failed", "addr", l.Addr().String(), "failures", l.failures.Load(), "backoff", backoff, "err", err)
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -13,8 +13,9 @@
 // slowListener is a listener whose first accepts fail, and whose later accepts take slowAccept.
 type slowListener struct {
 	*net.TCPListener
-	failures int
-	onAccept func() // is called when an accept begins that does not fail
+	failures     int
+	failureDelay time.Duration // how long an accept that fails takes
+	onAccept     func()        // is called when an accept begins that does not fail
 }
 
 const slowAccept = 5 * time.Millisecond
@@ -22,6 +23,7 @@
 func (l *slowListener) Accept() (net.Conn, error) {
 	if l.failures > 0 {
 		l.failures--
+		time.Sleep(l.failureDelay)
 		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", syscall.ENOBUFS)}
 	}
 	l.onAccept()
@@ -51,7 +53,7 @@
 		t.Fatal(err)
 	}
 	defer inner.Close()
-	slow := &slowListener{inner.(*net.TCPListener), failures, func() {}}
+	slow := &slowListener{TCPListener: inner.(*net.TCPListener), failures: failures, onAccept: func() {}}
 	l := New(slow, hostos.Real())
 	accept := func() time.Duration {
 		t.Helper()
@@ -77,3 +79,30 @@
 		t.Errorf("%d failures", l.Failures())
 	}
 }
+
+// While no client connects, an accept waits. If it then fails, as it does while the process has no descriptor left, the
+// time of that wait must not count for the connection, whose client has only just come.
+func TestAcceptDelayLeavesOutTheWaitForAClient(t *testing.T) {
+	const idle = 500 * time.Millisecond
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	l := New(&slowListener{
+		TCPListener: inner.(*net.TCPListener), failures: 1, failureDelay: idle, onAccept: func() {},
+	}, hostos.Real())
+	time.AfterFunc(idle-slowAccept, func() {
+		if conn, err := net.Dial("tcp", inner.Addr().String()); err == nil {
+			t.Cleanup(func() { conn.Close() })
+		}
+	})
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if delay := l.AcceptDelay(); delay > idle/2 {
+		t.Errorf("delay %v, %v of which no client had connected", delay, idle)
+	}
+}
