--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -164,14 +164,17 @@
 			becameIdle.Store(true)
 		}
 	})
+	t.Cleanup(func() { close(finish) }) // a handler that still waits would keep the server open
 	idle, slow, silent := dial(t, s), dial(t, s), dial(t, s)
 	if resp := roundTrip(t, idle, bufio.NewReader(idle), "/healthz"); resp.StatusCode != 200 || resp.Close {
 		t.Fatalf("before the drain: %d, close %t", resp.StatusCode, resp.Close)
 	}
 	io.WriteString(slow, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
 	<-entered
-	// net/http reports the connection as idle only after its answer was written.
+	// net/http reports the connection as idle only after its answer was written, and only then begins its next read. A
+	// read that begins during the drain closes its connection, and CloseIdle keeps one that is not being read yet.
 	testutil.Eventually(t, "the first connection to be reported as idle", becameIdle.Load)
+	testutil.Eventually(t, "reads on the idle and the silent connection", func() bool { return l.AwaitingConns() == 2 })
 	lifecycle.Drain.Begin(time.Now())
 	if n := l.CloseIdle(time.Hour); n != 1 {
 		t.Errorf("closed %d of the idle, open and silent connections, want only the idle one", n)
