--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -10,15 +10,17 @@
 pids=()
 : >"$record"
 
+# finish ends every process that was started, and waits until all have ended.
 finish() {
 	local pid
-	{
-		for pid in "${pids[@]}"; do
-			kill -CONT "$pid"
-			kill -KILL "$pid"
-		done
-		wait
-	} 2>/dev/null
+	disown -a
+	for pid in "${pids[@]}"; do
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done
+	for pid in "${pids[@]}"; do
+		while kill -0 "$pid" 2>/dev/null; do sleep 0.02; done
+	done
 	rm -rf "$work"
 }
 trap finish EXIT
