--- a/review/standin-2/testdata/client.go
+++ b/review/standin-2/testdata/client.go
@@ -163,3 +163,35 @@
 	answer, _ := io.ReadAll(conn)
 	return strings.TrimSpace(string(answer))
 }
+
+// platform sends one request to the platform's front on a new connection and prints the status, or 0 without an answer.
+func platform(args []string) {
+	var addr, file string
+	parse("platform", args, func(f *flag.FlagSet) {
+		f.StringVar(&addr, "addr", "", "the address of the front")
+		f.StringVar(&file, "record", "", "the record file")
+	})
+	rec := newRecord(file)
+	id := fmt.Sprintf("%016x", time.Now().UnixNano())
+	body := `{"model":"chat","stream":true,"max_tokens":80,"messages":[{"role":"user","content":"question ` + id + `"}]}`
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		fail("%v", err)
+	}
+	for name, value := range map[string]string{"X-Trace-Id": id, "X-Qos": "parzellen-frage", "X-Object": "o" + id,
+		"X-Expires-In": "4800m", "X-Props": "prompt_len=8,max_out=80"} {
+		req.Header.Set(name, value)
+	}
+	rec.add("client", "sent id=%s to=%s", id, addr)
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	status, text := 0, ""
+	if resp, err := client.Do(req); err == nil {
+		status = resp.StatusCode
+		text, err = readStream(resp.Body)
+		resp.Body.Close()
+		rec.add("client", "got id=%s status=%d text=%q err=%v", id, status, text, err)
+	} else {
+		rec.add("client", "got id=%s no answer: %v", id, err)
+	}
+	fmt.Println(status)
+}
--- a/review/standin-2/testdata/main.go
+++ b/review/standin-2/testdata/main.go
@@ -1,5 +1,5 @@
 // Command standin-2 has the stand-ins of the second review's cases: discovery, readers and writers (replicas), a client
-// of the chat API (post), a client of the health check and of the operators' calls (get, call), and a search for free
+// of the chat API (post) and of the platform's front (platform), a client of the health check and of the operators' calls (get, call), and a search for free
 // ports (ports). All of them use loopback addresses only. Everything that is sent, answered and run is appended to one
 // record file, a line each.
 package main
@@ -15,11 +15,11 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fail("usage: standin-2 ports|replicas|post|get|call|control [flags]")
+		fail("usage: standin-2 ports|replicas|post|platform|get|call|note|kill-when [flags]")
 	}
 	name, args := os.Args[1], os.Args[2:]
 	commands := map[string]func([]string){
-		"ports": ports, "replicas": replicas, "post": post, "get": get, "call": call, "note": note, "kill-when": killWhen,
+		"ports": ports, "replicas": replicas, "post": post, "get": get, "call": call, "note": note, "kill-when": killWhen, "platform": platform,
 	}
 	run, ok := commands[name]
 	if !ok {
