--- a/review/standin-2/testdata/client.go
+++ b/review/standin-2/testdata/client.go
@@ -15,7 +15,7 @@
 // post sends one request to the chat API on a new connection and prints what came back, as one line: status, error code,
 // whether the answer was replayed, and the answer's text. Without an answer it prints status=0.
 func post(args []string) {
-	var addr, key, model, text, expires, file, label, resend string
+	var addr, key, model, text, expires, file, label string
 	var timeout time.Duration
 	var stream bool
 	parse("post", args, func(f *flag.FlagSet) {
@@ -26,7 +26,6 @@
 		f.StringVar(&expires, "expires", "", "the header X-Expires-In; none if empty")
 		f.StringVar(&file, "record", "", "the record file")
 		f.StringVar(&label, "label", "client", "the client's name in the record")
-		f.StringVar(&resend, "source", "", "the client's own address; any if empty")
 		f.DurationVar(&timeout, "timeout", 25*time.Second, "when the client gives up")
 		f.BoolVar(&stream, "stream", false, "ask for a stream")
 	})
--- a/review/standin-2/testdata/main.go
+++ b/review/standin-2/testdata/main.go
@@ -15,11 +15,11 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fail("usage: standin-2 ports|replicas|post|platform|get|call|note|relay [flags]")
+		fail("usage: standin-2 ports|replicas|post|platform|get|call|note|relay|pauses [flags]")
 	}
 	name, args := os.Args[1], os.Args[2:]
 	commands := map[string]func([]string){
-		"ports": ports, "replicas": replicas, "post": post, "get": get, "call": call, "note": note, "kill-when": killWhen, "platform": platform, "relay": relays,
+		"ports": ports, "replicas": replicas, "post": post, "get": get, "call": call, "note": note, "kill-when": killWhen, "platform": platform, "pauses": pauses, "relay": relays,
 	}
 	run, ok := commands[name]
 	if !ok {
